--- /dev/null
+++ b/internal/base/lwfault/fault.go
@@ -0,0 +1,107 @@
+// Package lwfault holds the error type that crosses process boundaries. It
+// exists so that a refusal keeps its kind, and so its exit code, HTTP status
+// and meaning for a retry, from the place that refuses to the person who
+// reads it.
+package lwfault
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Kind classifies a fault for programs.
+type Kind string
+
+// The kinds of fault.
+const (
+	Invalid      Kind = "invalid"       // the input can never be accepted
+	Unauthorized Kind = "unauthorized"  // no token, or a token that is not known
+	Forbidden    Kind = "forbidden"     // the token's role does not allow it
+	NotFound     Kind = "not_found"     // the named object does not exist
+	Conflict     Kind = "conflict"      // it contradicts something accepted before
+	Expired      Kind = "expired"       // the record's retention has ended
+	Overloaded   Kind = "overloaded"    // refused early; retry after the given time
+	Unavailable  Kind = "unavailable"   // no leader, no quorum or no backend server now
+	NotLeader    Kind = "not_leader"    // this replica does not lead
+	Unknown      Kind = "unknown"       // it may or may not have taken effect
+	Timeout      Kind = "timeout"       // the deadline passed
+	TooLarge     Kind = "too_large"     // the input is over a size limit
+	Internal     Kind = "internal"      // a defect or a failed device
+	Fenced       Kind = "fenced"        // a newer attempt or incarnation exists
+	Unrepeatable Kind = "unrepeatable"  // a non-idempotent request that may have run
+	Pending      Kind = "still_running" // the first copy of the request is still running
+)
+
+// Fault is an error with a kind.
+type Fault struct {
+	Kind       Kind          // class for programs
+	Detail     string        // one sentence for people
+	RetryAfter time.Duration // when to come back; zero when not known
+	Leader     string        // RPC address of the leader, for NotLeader
+	Cause      error         // wrapped error, if any
+}
+
+// New returns a fault with a formatted detail.
+func New(kind Kind, format string, args ...any) *Fault {
+	return &Fault{Kind: kind, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the kind, the detail and the cause.
+func (f *Fault) Error() string {
+	if f.Cause != nil {
+		return fmt.Sprintf("%s: %s: %v", f.Kind, f.Detail, f.Cause)
+	}
+	return fmt.Sprintf("%s: %s", f.Kind, f.Detail)
+}
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error { return f.Cause }
+
+// KindOf returns the kind of the first fault in the chain of err, or Internal.
+func KindOf(err error) Kind {
+	if f, ok := errors.AsType[*Fault](err); ok {
+		return f.Kind
+	}
+	return Internal
+}
+
+// As returns the first fault in the chain of err, or an Internal fault that
+// wraps it.
+func As(err error) *Fault {
+	if f, ok := errors.AsType[*Fault](err); ok {
+		return f
+	}
+	return &Fault{Kind: Internal, Detail: "unexpected error", Cause: err}
+}
+
+// HTTPStatus returns the status code that carries the kind to a caller.
+func (k Kind) HTTPStatus() int {
+	switch k {
+	case Invalid:
+		return http.StatusBadRequest
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case Forbidden:
+		return http.StatusForbidden
+	case NotFound:
+		return http.StatusNotFound
+	case Conflict, Fenced, Pending:
+		return http.StatusConflict
+	case Expired:
+		return http.StatusGone
+	case Overloaded:
+		return http.StatusTooManyRequests
+	case Unavailable, NotLeader:
+		return http.StatusServiceUnavailable
+	case Unknown, Unrepeatable:
+		return http.StatusBadGateway
+	case Timeout:
+		return http.StatusGatewayTimeout
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- /dev/null
+++ b/internal/base/lwunit/quantity.go
@@ -0,0 +1,126 @@
+package lwunit
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/dustin/go-humanize"
+)
+
+// Millicores is processor capacity in thousandths of a core.
+type Millicores int64
+
+// Accelerators counts whole accelerators.
+type Accelerators int64
+
+// Bytes is a size in bytes. In JSON it is a string with a unit, "250GB" or
+// "64MiB".
+type Bytes int64
+
+// Common sizes in bytes.
+const (
+	KiB Bytes = 1 << 10
+	MiB Bytes = 1 << 20
+	GiB Bytes = 1 << 30
+)
+
+// MarshalJSON writes the size with the largest binary unit that divides it.
+func (b Bytes) MarshalJSON() ([]byte, error) {
+	return json.Marshal(b.String())
+}
+
+// String returns the size with the largest binary unit that divides it.
+func (b Bytes) String() string {
+	switch {
+	case b != 0 && b%GiB == 0:
+		return fmt.Sprintf("%dGiB", b/GiB)
+	case b != 0 && b%MiB == 0:
+		return fmt.Sprintf("%dMiB", b/MiB)
+	case b != 0 && b%KiB == 0:
+		return fmt.Sprintf("%dKiB", b/KiB)
+	default:
+		return fmt.Sprintf("%dB", int64(b))
+	}
+}
+
+// UnmarshalJSON reads a string with a unit.
+func (b *Bytes) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("size must be a string with a unit, such as \"64MiB\": %w", err)
+	}
+	n, err := humanize.ParseBytes(text)
+	if err != nil {
+		return fmt.Errorf("size %q must carry a unit, such as \"64MiB\": %w", text, err)
+	}
+	*b = Bytes(n)
+	return nil
+}
+
+// Duration is a span of time. In JSON it is a string with a unit, "1.5s".
+type Duration time.Duration
+
+// Std returns the span as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// String returns the span with its unit.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalJSON writes the span with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a string with a unit.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("duration must be a string with a unit, such as \"1.5s\": %w", err)
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("duration %q must carry a unit, such as \"1.5s\": %w", text, err)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Millis is a point on the replicated clock, in milliseconds. It is never
+// compared with the wall clock of another VM.
+type Millis int64
+
+// Add returns the point d later.
+func (m Millis) Add(d time.Duration) Millis { return m + Millis(d.Milliseconds()) }
+
+// Resources is an amount of each resource that a worker has or a task needs.
+type Resources struct {
+	Millicores   Millicores   `json:"millicores"`
+	Memory       Bytes        `json:"memory"`
+	Accelerators Accelerators `json:"accelerators,omitempty"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.Millicores + o.Millicores, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.Millicores - o.Millicores, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether r fits into room in every resource.
+func (r Resources) Fits(room Resources) bool {
+	return r.Millicores <= room.Millicores && r.Memory <= room.Memory && r.Accelerators <= room.Accelerators
+}
+
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.Millicores, o.Millicores), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
+}
+
+// Negative reports whether any amount is below zero.
+func (r Resources) Negative() bool {
+	return r.Millicores < 0 || r.Memory < 0 || r.Accelerators < 0
+}
--- /dev/null
+++ b/internal/command/lwcommand/demo.go
@@ -0,0 +1,37 @@
+package lwcommand
+
+import (
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/command/lwdemo"
+)
+
+var demoVerb = &verb{
+	name:  "demo",
+	short: "run both deployments in small, in this process",
+	usage: `usage: lavenderweir demo [--verbose]
+
+Starts control, agents, entries and stand-in workers on loopback, walks through
+tickets, requests, orders and jobs of both deployments, and stops gracefully.
+The exit code is 0 only if every step worked.
+
+  --verbose       log changes of state too`,
+	run: runDemo,
+}
+
+func runDemo(args []string, io streams) error {
+	verbose := false
+	p := newParser("demo")
+	p.Bool(&verbose, "v", "verbose", "log changes of state too")
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	log := zap.NewNop()
+	if verbose {
+		var err error
+		if log, err = newLogger("debug"); err != nil {
+			return err
+		}
+	}
+	return lwdemo.Run(io.out, log)
+}
--- /dev/null
+++ b/internal/command/lwcommand/job_cancel.go
@@ -0,0 +1,40 @@
+package lwcommand
+
+import (
+	"context"
+	"net/url"
+
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+)
+
+var jobCancelVerb = &verb{
+	name:  "job cancel",
+	short: "cancel a job",
+	usage: `usage: lavenderweir job cancel JOB
+
+Stops the job's tasks. It is final once each stop is confirmed; until then its
+phase is cancelling and its resources stay taken.
+
+` + remoteUsage,
+	run: runJobCancel,
+}
+
+func runJobCancel(args []string, io streams) error {
+	var r remote
+	var job string
+	p := newParser("job cancel")
+	p.AddPositionalValue(&job, "job", 1, true, "job id")
+	r.flags(p)
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	c, err := r.client()
+	if err != nil {
+		return err
+	}
+	var j lwstate.Job
+	if err := c.Delete(context.Background(), "/v1/jobs/"+url.PathEscape(job), &j); err != nil {
+		return err
+	}
+	return r.show(io, j, func() table { return jobTable([]lwstate.Job{j}) })
+}
--- /dev/null
+++ b/internal/command/lwcommand/job_show.go
@@ -0,0 +1,45 @@
+package lwcommand
+
+import (
+	"context"
+	"net/url"
+
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+)
+
+var jobShowVerb = &verb{
+	name:  "job show",
+	short: "show a job and its tasks",
+	usage: `usage: lavenderweir job show JOB
+
+` + remoteUsage,
+	run: runJobShow,
+}
+
+type jobDetail struct {
+	Job   lwstate.Job    `json:"job"`
+	Tasks []lwstate.Task `json:"tasks"`
+}
+
+func runJobShow(args []string, io streams) error {
+	var r remote
+	var job string
+	p := newParser("job show")
+	p.AddPositionalValue(&job, "job", 1, true, "job id")
+	r.flags(p)
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	c, err := r.client()
+	if err != nil {
+		return err
+	}
+	var d jobDetail
+	if err := c.Get(context.Background(), "/v1/jobs/"+url.PathEscape(job), &d); err != nil {
+		return err
+	}
+	return r.show(io, d, func() table {
+		t := append(jobTable([]lwstate.Job{d.Job}), []string{})
+		return append(t, taskTable(d.Tasks)...)
+	})
+}
--- /dev/null
+++ b/internal/command/lwcommand/job_submit.go
@@ -0,0 +1,76 @@
+package lwcommand
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+)
+
+var jobSubmitVerb = &verb{
+	name:  "job submit",
+	short: "submit a job",
+	usage: `usage: lavenderweir job submit --file FILE
+
+Sends a job, JSON with comments. The id is yours to choose; sending the same
+job again gets the first answer again. Exit code 3: the id has another content.
+
+  --file FILE     the job; - for standard input
+` + remoteUsage,
+	run: runJobSubmit,
+}
+
+func runJobSubmit(args []string, io streams) error {
+	var r remote
+	var file string
+	p := newParser("job submit")
+	p.String(&file, "f", "file", "the job")
+	r.flags(p)
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	if file == "" {
+		return &usageError{"--file is required"}
+	}
+	c, err := r.client()
+	if err != nil {
+		return err
+	}
+	data, err := readDocument(file)
+	if err != nil {
+		return err
+	}
+	std, err := hujson.Standardize(data)
+	if err != nil {
+		return &lwfault.Fault{Kind: lwfault.Invalid, Detail: file, Cause: err}
+	}
+	var j lwstate.Job
+	if err := c.Post(context.Background(), "/v1/jobs", std, &j); err != nil {
+		return err
+	}
+	return r.show(io, j, func() table { return jobTable([]lwstate.Job{j}) })
+}
+
+func jobTable(list []lwstate.Job) table {
+	t := table{{"JOB", "TEAM", "CLASS", "PHASE", "TASKS LEFT", "REASON"}}
+	for _, j := range list {
+		left := fmt.Sprintf("%d of %d", j.Left, j.Spec.Tasks)
+		t = append(t, []string{string(j.Spec.ID), string(j.Spec.Team), string(j.Spec.Class), string(j.Phase), left, j.Reason})
+	}
+	return t
+}
+
+func taskTable(list []lwstate.Task) table {
+	t := table{{"TASK", "PHASE", "WORKER", "ATTEMPTS", "FAILURES", "EVICTIONS", "LOSSES", "CHECKPOINT", "REASON"}}
+	for _, task := range list {
+		t = append(t, []string{
+			string(task.ID), string(task.Phase), string(task.Worker), strconv.Itoa(task.Attempts), strconv.Itoa(task.Failures),
+			strconv.Itoa(task.Evictions), strconv.Itoa(task.Losses), task.Checkpoint, task.Reason,
+		})
+	}
+	return t
+}
--- /dev/null
+++ b/internal/command/lwcommand/main.go
@@ -0,0 +1,104 @@
+// Package lwcommand is the entry point of the program: it finds the verb that
+// the command line names and runs it.
+package lwcommand
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwsetting"
+)
+
+// Version of the program.
+const Version = "0.1.0"
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // anything not named below
+	ExitUsage       = 2 // the command line, settings or a document is wrong
+	ExitConflict    = 3 // it contradicts something accepted before
+	ExitNotFound    = 4
+	ExitUnavailable = 5 // try again later
+	ExitUnknown     = 6 // it may or may not have taken effect; resend it
+	ExitDenied      = 7 // the token is missing, not known or not enough
+)
+
+// usageError reports a wrong command line.
+type usageError struct{ detail string }
+
+// Error returns what is wrong.
+func (e *usageError) Error() string { return e.detail }
+
+// streams is where a verb writes.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	io := streams{stdout, stderr}
+	v, rest := findVerb(args)
+	if v == nil {
+		printUsage(io, args)
+		if len(args) > 0 && isHelp(args[0]) {
+			return ExitOK
+		}
+		return ExitUsage
+	}
+	if len(rest) > 0 && isHelp(rest[0]) {
+		_, _ = fmt.Fprintf(stdout, "lavenderweir %s\n\n%s\n", v.name, v.usage)
+		return ExitOK
+	}
+	err := v.run(rest, io)
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintf(stderr, "lavenderweir %s: %v\n", v.name, err)
+	return exitCode(err)
+}
+
+func isHelp(arg string) bool { return arg == "help" || arg == "-h" || arg == "--help" }
+
+func printUsage(io streams, args []string) {
+	if len(args) > 0 && !isHelp(args[0]) {
+		_, _ = fmt.Fprintf(io.err, "lavenderweir: no verb %q\n", strings.Join(args, " "))
+	}
+	_, _ = fmt.Fprintln(io.out, "usage: lavenderweir VERB [flags]; \"lavenderweir VERB --help\" tells more")
+	for _, v := range verbs() {
+		_, _ = fmt.Fprintf(io.out, "  %-16s %s\n", v.name, v.short)
+	}
+}
+
+func exitCode(err error) int {
+	if _, ok := errors.AsType[*usageError](err); ok {
+		return ExitUsage
+	}
+	if _, ok := errors.AsType[*lwsetting.Problem](err); ok {
+		return ExitUsage
+	}
+	f, ok := errors.AsType[*lwfault.Fault](err)
+	if !ok {
+		return ExitFailed
+	}
+	switch f.Kind {
+	case lwfault.Invalid, lwfault.TooLarge:
+		return ExitUsage
+	case lwfault.Conflict, lwfault.Expired, lwfault.Fenced:
+		return ExitConflict
+	case lwfault.NotFound:
+		return ExitNotFound
+	case lwfault.Unavailable, lwfault.Overloaded, lwfault.NotLeader:
+		return ExitUnavailable
+	case lwfault.Unknown, lwfault.Timeout, lwfault.Pending:
+		return ExitUnknown
+	case lwfault.Unauthorized, lwfault.Forbidden:
+		return ExitDenied
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/internal/command/lwcommand/status.go
@@ -0,0 +1,55 @@
+package lwcommand
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+)
+
+var statusVerb = &verb{
+	name:  "status",
+	short: "show control replicas and processes",
+	usage: `usage: lavenderweir status
+
+` + remoteUsage,
+	run: runStatus,
+}
+
+type systemStatus struct {
+	Revision lwunit.Revision        `json:"revision"`
+	Replicas []lwlink.ReplicaStatus `json:"replicas"`
+	Nodes    []lwlink.NodeStatus    `json:"nodes"`
+}
+
+func runStatus(args []string, io streams) error {
+	var r remote
+	p := newParser("status")
+	r.flags(p)
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	c, err := r.client()
+	if err != nil {
+		return err
+	}
+	var st systemStatus
+	if err := c.Get(context.Background(), "/v1/status", &st); err != nil {
+		return err
+	}
+	return r.show(io, st, func() table { return statusTable(st) })
+}
+
+func statusTable(st systemStatus) table {
+	t := table{{"REPLICA", "ADDRESS", "DOMAIN", "ROLE", "LOG", "LAST ANSWER"}}
+	for _, m := range st.Replicas {
+		t = append(t, []string{string(m.ID), m.Address, string(m.Domain), m.Role, fmt.Sprintf("%d of %d", m.Match, m.Last), m.Answer.String()})
+	}
+	t = append(t, []string{}, []string{"PROCESS", "ROLE", "POLICY REVISION", "SEEN"})
+	for _, n := range st.Nodes {
+		t = append(t, []string{n.Node, string(n.Role), strconv.FormatUint(uint64(n.Applied), 10), n.Seen.String() + " ago"})
+	}
+	return t
+}
--- /dev/null
+++ b/internal/command/lwcommand/table.go
@@ -0,0 +1,46 @@
+package lwcommand
+
+import "strings"
+
+// verb is one thing the program can be told to do.
+type verb struct {
+	name  string // one or two words
+	short string // one line for the list of verbs
+	usage string // what --help prints
+	run   func(args []string, io streams) error
+}
+
+// verbs is the lookup table of all verbs.
+func verbs() []*verb {
+	return []*verb{
+		serveVerb,
+		checkVerb,
+		ticketApplyVerb,
+		ticketStatusVerb,
+		ticketListVerb,
+		ticketDiffVerb,
+		jobSubmitVerb,
+		jobListVerb,
+		jobShowVerb,
+		jobCancelVerb,
+		workerListVerb,
+		workerDrainVerb,
+		workerUndrainVerb,
+		serviceListVerb,
+		statusVerb,
+		demoVerb,
+		versionVerb,
+	}
+}
+
+// findVerb returns the verb whose words begin args, and the arguments after
+// them.
+func findVerb(args []string) (*verb, []string) {
+	for _, v := range verbs() {
+		words := strings.Fields(v.name)
+		if len(args) >= len(words) && strings.Join(args[:len(words)], " ") == v.name {
+			return v, args[len(words):]
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/internal/command/lwcommand/ticket_apply.go
@@ -0,0 +1,81 @@
+package lwcommand
+
+import (
+	"context"
+	"strconv"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/control/lwticket"
+
+	"github.com/tailscale/hujson"
+)
+
+var ticketApplyVerb = &verb{
+	name:  "ticket apply",
+	short: "put a change ticket in force",
+	usage: `usage: lavenderweir ticket apply --file FILE
+
+Sends a change ticket, JSON with comments. Sending the same ticket again gets
+the first answer again, so a lost answer is settled by repeating the command.
+Exit code 3: another ticket has the number, or a newer one set an object.
+
+  --file FILE     the ticket; - for standard input
+` + remoteUsage,
+	run: runTicketApply,
+}
+
+func runTicketApply(args []string, io streams) error {
+	var r remote
+	var file string
+	p := newParser("ticket apply")
+	p.String(&file, "f", "file", "the ticket")
+	r.flags(p)
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	c, err := r.client()
+	if err != nil {
+		return err
+	}
+	data, err := readTicket(file)
+	if err != nil {
+		return err
+	}
+	var rec lwstate.TicketRecord
+	if err := c.Post(context.Background(), "/v1/tickets", data, &rec); err != nil {
+		return err
+	}
+	return r.show(io, rec, func() table { return ticketTable([]lwstate.TicketRecord{rec}) })
+}
+
+// readTicket reads a ticket with comments and checks it here, where the file
+// can be named.
+func readTicket(file string) ([]byte, error) {
+	if file == "" {
+		return nil, &usageError{"--file is required"}
+	}
+	data, err := readDocument(file)
+	if err != nil {
+		return nil, err
+	}
+	std, err := hujson.Standardize(data)
+	if err != nil {
+		return nil, &lwfault.Fault{Kind: lwfault.Invalid, Detail: file, Cause: err}
+	}
+	if _, err := lwticket.Decode(std); err != nil {
+		return nil, &lwfault.Fault{Kind: lwfault.Invalid, Detail: file, Cause: err}
+	}
+	return std, nil
+}
+
+func ticketTable(list []lwstate.TicketRecord) table {
+	t := table{{"NUMBER", "AUTHOR", "OBJECTS", "REVISION", "DIGEST", "COMMENT"}}
+	for _, rec := range list {
+		t = append(t, []string{
+			strconv.FormatUint(uint64(rec.Number), 10), rec.Author, strconv.Itoa(len(rec.Objects)),
+			strconv.FormatUint(uint64(rec.Revision), 10), string(rec.Digest[:min(12, len(rec.Digest))]), rec.Comment,
+		})
+	}
+	return t
+}
--- /dev/null
+++ b/internal/command/lwcommand/ticket_status.go
@@ -0,0 +1,58 @@
+package lwcommand
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+)
+
+var ticketStatusVerb = &verb{
+	name:  "ticket status",
+	short: "show where a ticket is in force",
+	usage: `usage: lavenderweir ticket status NUMBER
+
+Shows the ticket, how many processes have applied it and which of them lag.
+
+` + remoteUsage,
+	run: runTicketStatus,
+}
+
+type ticketStatus struct {
+	Ticket  lwstate.TicketRecord `json:"ticket"`
+	InForce int                  `json:"in_force"`
+	Nodes   int                  `json:"nodes"`
+	Lagging []lwlink.NodeStatus  `json:"lagging,omitempty"`
+}
+
+func runTicketStatus(args []string, io streams) error {
+	var r remote
+	var number string
+	p := newParser("ticket status")
+	p.AddPositionalValue(&number, "number", 1, true, "ticket number")
+	r.flags(p)
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	if _, err := strconv.ParseUint(number, 10, 64); err != nil {
+		return &usageError{"the ticket number must be a number"}
+	}
+	c, err := r.client()
+	if err != nil {
+		return err
+	}
+	var st ticketStatus
+	if err := c.Get(context.Background(), "/v1/tickets/"+number, &st); err != nil {
+		return err
+	}
+	return r.show(io, st, func() table {
+		t := ticketTable([]lwstate.TicketRecord{st.Ticket})
+		t = append(t, []string{}, []string{"IN FORCE", fmt.Sprintf("%d of %d processes", st.InForce, st.Nodes)})
+		for _, n := range st.Lagging {
+			t = append(t, []string{"LAGS", n.Node, string(n.Role), fmt.Sprintf("at %d", n.Applied), "seen " + n.Seen.String() + " ago"})
+		}
+		return t
+	})
+}
--- /dev/null
+++ b/internal/command/lwcommand/version.go
@@ -0,0 +1,19 @@
+package lwcommand
+
+import (
+	"fmt"
+	"runtime"
+)
+
+var versionVerb = &verb{
+	name:  "version",
+	short: "print the version",
+	usage: "usage: lavenderweir version",
+	run: func(args []string, io streams) error {
+		if err := parse(newParser("version"), args); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(io.out, "lavenderweir %s %s\n", Version, runtime.Version())
+		return err
+	},
+}
--- /dev/null
+++ b/internal/command/lwdemo/system.go
@@ -0,0 +1,241 @@
+// Package lwdemo runs a whole small system on loopback in one process, through
+// the real HTTP and RPC paths, and walks through what the product is for.
+package lwdemo
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"path/filepath"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwsetting"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/command/lwadmin"
+	"lavenderweir.example/lavenderweir/internal/command/lwnode"
+	"lavenderweir.example/lavenderweir/internal/control/lwticket"
+	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
+	"lavenderweir.example/lavenderweir/internal/worker/lwstandin"
+)
+
+const (
+	operatorToken = "demo-operator-token"
+	readyPoll     = 20 * time.Millisecond
+	readyTimeout  = 15 * time.Second
+	stopTimeout   = 20 * time.Second
+	noticeTime    = 50 * time.Millisecond
+)
+
+// Shape describes a system to start.
+type Shape struct {
+	Region   lwunit.Region
+	Domains  []lwunit.FailureDomain
+	Service  lwunit.ServiceName
+	Workers  int
+	Replicas int
+	Entries  int
+	Capacity lwunit.Resources
+	Options  lwnode.Options
+	Folder   string // data folders are made below it
+}
+
+// System is a running system with stand-in workers and backend servers.
+type System struct {
+	Shape    Shape
+	Control  []*lwnode.Node
+	Entries  []*lwnode.Node
+	Agents   []*lwnode.Node
+	Workers  []*lwstandin.Worker
+	Backends []*lwstandin.Backend
+
+	log       *zap.Logger
+	key       string
+	addresses []string
+	platforms []*lwhttp.Server
+}
+
+// FreeAddress returns a loopback address that was free a moment ago.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// StartSystem starts the shape's processes in this one and waits until each is
+// ready.
+func StartSystem(shape Shape, log *zap.Logger) (*System, error) {
+	raw := make([]byte, 16)
+	if _, err := rand.Read(raw); err != nil {
+		return nil, fmt.Errorf("draw cluster key: %w", err)
+	}
+	s := &System{Shape: shape, log: log, key: hex.EncodeToString(raw)}
+	for range shape.Replicas {
+		a, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		s.addresses = append(s.addresses, a)
+	}
+	if err := s.start(); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *System) start() error {
+	for i := range s.Shape.Replicas {
+		if err := s.StartControl(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.Shape.Workers {
+		if err := s.startWorker(i); err != nil {
+			return err
+		}
+	}
+	for i := range s.Shape.Entries {
+		n, err := lwnode.Start(s.EntrySettings(i), s.Shape.Options, s.log)
+		if err != nil {
+			return err
+		}
+		s.Entries = append(s.Entries, n)
+	}
+	return s.waitReady()
+}
+
+func (s *System) base(name string, i int) lwsetting.Settings {
+	set := lwsetting.Settings{
+		Name: name, Region: s.Shape.Region, FailureDomain: s.Shape.Domains[i%len(s.Shape.Domains)], Control: s.addresses,
+		StopTime: lwunit.Duration(stopTimeout), LogLevel: "info", MemoryLimit: lwunit.GiB,
+	}
+	set.SetClusterKey(s.key)
+	return set
+}
+
+// StartControl starts control replica i, or starts it again.
+func (s *System) StartControl(i int) error {
+	set := s.base(fmt.Sprintf("control-%d", i), i)
+	set.RPCAddress = s.addresses[i]
+	set.Serve = &lwsetting.Replica{Folder: filepath.Join(s.Shape.Folder, set.Name)}
+	n, err := lwnode.Start(set, s.Shape.Options, s.log)
+	if err != nil {
+		return err
+	}
+	if i < len(s.Control) {
+		s.Control[i] = n
+	} else {
+		s.Control = append(s.Control, n)
+	}
+	return nil
+}
+
+// EntrySettings returns the settings of entry i.
+func (s *System) EntrySettings(i int) lwsetting.Settings {
+	set := s.base(fmt.Sprintf("entry-%d", i), i)
+	set.Entry = &lwsetting.Entry{
+		Address: "127.0.0.1:0", OperatorSHA256: lwticket.TokenDigest(operatorToken), DrainNotice: lwunit.Duration(noticeTime),
+	}
+	return set
+}
+
+func (s *System) startWorker(i int) error {
+	w := lwstandin.NewWorker()
+	platform, err := lwhttp.Listen(lwhttp.Config{Name: "platform", Address: "127.0.0.1:0", Handler: w.Handler()})
+	if err != nil {
+		return err
+	}
+	s.Workers = append(s.Workers, w)
+	s.platforms = append(s.platforms, platform)
+	n, err := lwnode.Start(s.agentSettings(i), s.Shape.Options, s.log)
+	if err != nil {
+		return err
+	}
+	s.Agents = append(s.Agents, n)
+	b, err := lwstandin.StartBackend(lwunit.BackendServerID(fmt.Sprintf("%s-%d", s.Shape.Service, i)), s.Shape.Service, n.GateAddress())
+	if err != nil {
+		return err
+	}
+	s.Backends = append(s.Backends, b)
+	return nil
+}
+
+func (s *System) agentSettings(i int) lwsetting.Settings {
+	set := s.base(fmt.Sprintf("agent-%d", i), i)
+	set.Agent = &lwsetting.Agent{
+		GateAddress: "127.0.0.1:0", PlatformURL: "http://" + s.platforms[i].Address(),
+		Worker: lwunit.WorkerID(fmt.Sprintf("worker-%d", i)), Rack: lwunit.Rack(fmt.Sprintf("rack-%d", i/3)), Capacity: s.Shape.Capacity,
+	}
+	return set
+}
+
+// RestartAgent stops agent i gracefully, or not, and starts it again. The
+// stand-in backend server then announces itself to no one: its agent has a new
+// address.
+func (s *System) RestartAgent(i int) error {
+	s.Agents[i].Stop(context.Background())
+	n, err := lwnode.Start(s.agentSettings(i), s.Shape.Options, s.log)
+	if err != nil {
+		return err
+	}
+	s.Agents[i] = n
+	return nil
+}
+
+func (s *System) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for _, n := range s.nodes() {
+		for {
+			err := n.Ready()
+			if err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("not ready in %s: %w", readyTimeout, err)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+func (s *System) nodes() []*lwnode.Node {
+	var all []*lwnode.Node
+	all = append(all, s.Control...)
+	all = append(all, s.Agents...)
+	return append(all, s.Entries...)
+}
+
+// URL returns the address of entry i.
+func (s *System) URL(i int) string { return "http://" + s.Entries[i].EntryAddress() }
+
+// Operator returns a client with the operator's token.
+func (s *System) Operator() *lwadmin.Client { return lwadmin.New(s.URL(0), operatorToken) }
+
+// Stop stops everything gracefully, callers' side first.
+func (s *System) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, n := range s.Entries {
+		n.Stop(ctx)
+	}
+	for _, n := range s.Agents {
+		n.Stop(ctx)
+	}
+	for _, b := range s.Backends {
+		b.Kill()
+	}
+	for _, n := range s.Control {
+		n.Stop(ctx)
+	}
+	for _, p := range s.platforms {
+		p.Close()
+	}
+}
--- /dev/null
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -0,0 +1,312 @@
+package lwcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+)
+
+// statusResult tells another replica what this one is.
+type statusResult struct {
+	Replica lwunit.ReplicaID     `json:"replica"`
+	Cluster string               `json:"cluster"` // empty before it has joined
+	Address string               `json:"address"`
+	Domain  lwunit.FailureDomain `json:"domain"`
+	Applied uint64               `json:"applied"`
+	Hash    string               `json:"hash,omitempty"`
+}
+
+// initParams founds a group.
+type initParams struct {
+	Cluster    string               `json:"cluster"`
+	Membership lwreplica.Membership `json:"membership"`
+}
+
+// joinParams asks the leader for a place in the group.
+type joinParams struct {
+	Member lwreplica.Member `json:"member"`
+}
+
+type joinResult struct {
+	Cluster    string               `json:"cluster"`
+	Membership lwreplica.Membership `json:"membership"`
+}
+
+func (n *Node) status(_ json.RawMessage) (statusResult, error) {
+	res := statusResult{
+		Replica: n.contents.Identity.Replica, Address: n.cfg.Address, Domain: n.cfg.Domain,
+	}
+	n.mu.RLock()
+	res.Cluster = n.contents.Identity.Cluster
+	n.mu.RUnlock()
+	if r := n.current(); r != nil {
+		res.Applied = uint64(r.current().applied)
+	}
+	return res, nil
+}
+
+// join finds this node its group. A new group is founded only when every
+// first member says that it is new as well: a replica that lost its disk then
+// finds a member that is not new, and joins that one's group under its new
+// identity instead of founding a second group.
+func (n *Node) join(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case m := <-n.initial:
+			return n.adopt(m, "")
+		case <-ctx.Done():
+			return nil
+		case <-time.After(bootstrapPause):
+		}
+		if err := n.tryJoin(ctx); err != nil {
+			n.log.Debug("not joined yet", zap.Error(err))
+		}
+		n.mu.RLock()
+		joined := n.contents.Identity.Cluster != ""
+		n.mu.RUnlock()
+		if joined {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (n *Node) tryJoin(ctx context.Context) error {
+	var members []lwreplica.Member
+	for _, address := range n.cfg.Replicas {
+		st, err := n.askStatus(ctx, address)
+		if err != nil {
+			return err
+		}
+		if st.Cluster != "" {
+			return n.askJoin(ctx)
+		}
+		members = append(members, lwreplica.Member{ID: st.Replica, Address: address, Domain: st.Domain})
+	}
+	founder := slices.MinFunc(members, func(a, b lwreplica.Member) int {
+		return compareIDs(a.ID, b.ID)
+	})
+	if founder.ID != n.contents.Identity.Replica {
+		return nil // the founder will tell this node
+	}
+	return n.found(ctx, lwreplica.Membership{Voters: members})
+}
+
+func compareIDs(a, b lwunit.ReplicaID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (n *Node) askStatus(ctx context.Context, address string) (statusResult, error) {
+	if address == n.cfg.Address {
+		return n.status(nil)
+	}
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	var st statusResult
+	if err := n.endpoint.Peer(address).Call(ctx, methodStatus, struct{}{}, &st); err != nil {
+		return st, fmt.Errorf("ask %s: %w", address, err)
+	}
+	return st, nil
+}
+
+// found tells every first member the same membership. The members answer for
+// it only with the identity they were asked under.
+func (n *Node) found(ctx context.Context, m lwreplica.Membership) error {
+	id, err := randomID()
+	if err != nil {
+		return err
+	}
+	params := initParams{id, m}
+	for _, member := range m.Voters {
+		if member.ID == n.contents.Identity.Replica {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+		err := n.endpoint.Peer(member.Address).Call(call, methodInit, params, nil)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("init %s: %w", member.Address, err)
+		}
+	}
+	return n.adopt(m, id)
+}
+
+// onInit accepts the founding of a group if this node is new and named in it.
+func (n *Node) onInit(p initParams) error {
+	n.mu.RLock()
+	cluster := n.contents.Identity.Cluster
+	n.mu.RUnlock()
+	if cluster != "" {
+		if cluster == p.Cluster {
+			return nil
+		}
+		return lwfault.New(lwfault.Conflict, "this replica belongs to a group already")
+	}
+	if !p.Membership.IsVoter(n.contents.Identity.Replica) {
+		return lwfault.New(lwfault.Fenced, "the membership names another identity at this address")
+	}
+	if err := n.adopt(p.Membership, p.Cluster); err != nil {
+		return err
+	}
+	select {
+	case n.initial <- p.Membership:
+	default:
+	}
+	return nil
+}
+
+// adopt makes the membership this node starts from durable: first the
+// snapshot at index 0, then the identity that says it is valid.
+func (n *Node) adopt(m lwreplica.Membership, cluster string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.contents.Identity.Cluster != "" {
+		return nil
+	}
+	snap := lwreplica.Snapshot{Membership: m}
+	if err := n.wal.SaveSnapshot(snap, nil); err != nil {
+		return err
+	}
+	id := n.contents.Identity
+	id.Cluster = cluster
+	if err := n.wal.SaveIdentity(id); err != nil {
+		return err
+	}
+	n.contents.Identity = id
+	n.contents.Restored.Snapshot = snap
+	n.log.Info("joined a control group", zap.String("cluster", cluster), zap.Int("voters", len(m.Voters)))
+	return nil
+}
+
+// askJoin asks the leader to add this replica as a learner. The leader makes
+// it a voter once it has caught up.
+func (n *Node) askJoin(ctx context.Context) error {
+	me := lwreplica.Member{ID: n.contents.Identity.Replica, Address: n.cfg.Address, Domain: n.cfg.Domain}
+	var last error
+	for _, address := range n.cfg.Replicas {
+		if address == n.cfg.Address {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+		var res joinResult
+		err := n.endpoint.Peer(address).Call(call, methodJoin, joinParams{me}, &res)
+		cancel()
+		if err == nil {
+			return n.adopt(lwreplica.Membership{Voters: res.Membership.Voters, Learners: res.Membership.Learners}, res.Cluster)
+		}
+		last = err
+	}
+	return last
+}
+
+// onJoin adds a learner. It is refused while its address still belongs to a
+// voter that answers.
+func (n *Node) onJoin(ctx context.Context, p joinParams) (joinResult, error) {
+	r := n.current()
+	if r == nil {
+		return joinResult{}, lwfault.New(lwfault.Unavailable, "this replica has not joined a group")
+	}
+	v := r.current()
+	if v.role != lwreplica.Leader {
+		return joinResult{}, &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddr}
+	}
+	n.mu.RLock()
+	cluster := n.contents.Identity.Cluster
+	n.mu.RUnlock()
+	if v.membership.IsVoter(p.Member.ID) || v.membership.IsLearner(p.Member.ID) {
+		return joinResult{cluster, v.membership}, nil
+	}
+	next := v.membership
+	next.Learners = append(slices.Clone(next.Learners), p.Member)
+	if err := n.changeMembership(ctx, r, next); err != nil {
+		return joinResult{}, err
+	}
+	n.log.Info("learner added", zap.String("replica", string(p.Member.ID)), zap.String("address", p.Member.Address))
+	return joinResult{cluster, next}, nil
+}
+
+func (n *Node) changeMembership(ctx context.Context, r *replica, m lwreplica.Membership) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	_, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.ChangeMembership{ID: id, Membership: m} })
+	return err
+}
+
+// repairStep moves the membership one safe step on: a learner that has caught
+// up replaces the silent voter at its address, and is then made a voter.
+func (n *Node) repairStep(ctx context.Context, r *replica) {
+	v := r.current()
+	for _, l := range v.membership.Learners {
+		if !caughtUp(v, l) {
+			continue
+		}
+		next, why := nextMembership(v, l)
+		if err := n.changeMembership(ctx, r, next); err != nil {
+			n.log.Warn("membership not changed", zap.Error(err))
+			return
+		}
+		n.log.Info("membership changed", zap.String("replica", string(l.ID)), zap.String("step", why))
+		return
+	}
+}
+
+// nextMembership returns the membership that brings learner l closer to a
+// vote: first the voter whose place it takes is removed, if that still leaves
+// a quorum of answering voters, then l is promoted.
+func nextMembership(v view, l lwreplica.Member) (lwreplica.Membership, string) {
+	next := lwreplica.Membership{Voters: slices.Clone(v.membership.Voters), Learners: slices.Clone(v.membership.Learners)}
+	for i, m := range next.Voters {
+		if m.Address == l.Address {
+			next.Voters = slices.Delete(next.Voters, i, i+1)
+			return next, "removed the voter that lost its disk"
+		}
+	}
+	next.Learners = slices.DeleteFunc(next.Learners, func(m lwreplica.Member) bool { return m.ID == l.ID })
+	next.Voters = append(next.Voters, l)
+	return next, "promoted to voter"
+}
+
+func caughtUp(v view, l lwreplica.Member) bool {
+	for _, m := range v.matches {
+		if m.member.ID == l.ID {
+			return m.since < time.Second && m.match >= v.commit
+		}
+	}
+	return false
+}
+
+// replicaStatuses describes the members for operators.
+func (n *Node) replicaStatuses(r *replica) []lwlink.ReplicaStatus {
+	v := r.current()
+	var list []lwlink.ReplicaStatus
+	for _, m := range v.matches {
+		role := "learner"
+		switch {
+		case m.member.ID == v.leader:
+			role = "leader"
+		case v.membership.IsVoter(m.member.ID):
+			role = "voter"
+		}
+		list = append(list, lwlink.ReplicaStatus{
+			ID: m.member.ID, Address: m.member.Address, Domain: m.member.Domain, Role: role,
+			Match: uint64(m.match), Last: uint64(v.last), Answer: lwunit.Duration(m.since),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/control/lwcontrol/leader.go
@@ -0,0 +1,238 @@
+package lwcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlease"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+const (
+	decideInterval = 50 * time.Millisecond
+	sweepInterval  = time.Minute
+	repairInterval = time.Second
+	nudgeTimeout   = time.Second
+)
+
+var (
+	leaseRenewals = lwmetric.Counter("leases_renewed_total")
+	workersLost   = lwmetric.Counter("workers_lost_total")
+	decideTime    = lwmetric.NewHistogram("placement_decide_time")
+	placements    = lwmetric.Counter("placements_proposed_total")
+)
+
+// leader holds the duties of the leading replica: leases, placement and
+// housekeeping. It begins afresh with each term.
+type leader struct {
+	node *Node
+
+	mu       sync.Mutex
+	term     lwreplica.Term
+	leases   *lwlease.Tracker
+	core     *lwplacement.Core
+	sessions map[lwunit.WorkerID]*lwrpc.Session
+	told     map[lwunit.WorkerID]lwunit.Revision // worker revision last sent or nudged
+}
+
+func newLeader(n *Node) *leader { return &leader{node: n} }
+
+// run performs the duties while this replica leads.
+func (l *leader) run(ctx context.Context, r *replica) {
+	ticker := time.NewTicker(decideInterval)
+	defer ticker.Stop()
+	lastSweep, lastRepair := time.Now(), time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !l.takeOffice(r) {
+			continue
+		}
+		l.loseWorkers(ctx, r)
+		l.decide(ctx, r)
+		l.nudge(ctx, r)
+		if time.Since(lastSweep) > sweepInterval {
+			lastSweep = time.Now()
+			l.sweep(ctx, r)
+		}
+		if time.Since(lastRepair) > repairInterval {
+			lastRepair = time.Now()
+			l.node.repairStep(ctx, r)
+		}
+	}
+}
+
+// takeOffice reports whether this replica may act as leader now, and starts
+// with empty memory in each new term.
+func (l *leader) takeOffice(r *replica) bool {
+	v := r.current()
+	if !r.stillLeads(v.term) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term != v.term {
+		l.term = v.term
+		l.leases = lwlease.NewTracker(l.node.cfg.Lease, r.now())
+		l.core = lwplacement.New(l.node.cfg.Placement)
+		l.sessions = make(map[lwunit.WorkerID]*lwrpc.Session)
+		l.told = make(map[lwunit.WorkerID]lwunit.Revision)
+	}
+	return true
+}
+
+// loseWorkers ends the attempts on workers whose leases have surely ended.
+func (l *leader) loseWorkers(ctx context.Context, r *replica) {
+	var ids []lwunit.WorkerID
+	r.read(func(s *lwstate.State) {
+		for _, w := range s.Workers() {
+			if !w.Lost {
+				ids = append(ids, w.Spec.ID)
+			}
+		}
+	})
+	l.mu.Lock()
+	ended := l.leases.Ended(ids, r.now())
+	l.mu.Unlock()
+	for _, id := range ended {
+		l.node.log.Warn("worker lost: its leases have ended", zap.String("worker", string(id)))
+		workersLost.Add(1)
+		l.propose(ctx, r, lwstate.LoseWorker{Worker: id})
+	}
+}
+
+func (l *leader) decide(ctx context.Context, r *replica) {
+	began := time.Now()
+	var cmds []lwstate.Command
+	l.mu.Lock()
+	r.read(func(s *lwstate.State) { cmds = l.core.Decide(r.now(), s) })
+	l.mu.Unlock()
+	decideTime.Observe(time.Since(began))
+	for _, c := range cmds {
+		if p, ok := c.(lwstate.PlaceTasks); ok {
+			placements.Add(int64(len(p.Placements)))
+		}
+		l.propose(ctx, r, c)
+	}
+}
+
+func (l *leader) propose(ctx context.Context, r *replica, c lwstate.Command) {
+	if _, res, err := r.propose(ctx, c); err != nil || res.Err != nil {
+		l.node.log.Debug("leader's command not accepted", zap.Error(err), zap.NamedError("result", res.Err))
+	}
+}
+
+// nudge tells agents whose tasks changed to sync at once.
+func (l *leader) nudge(ctx context.Context, r *replica) {
+	l.mu.Lock()
+	var due []*lwrpc.Session
+	r.read(func(s *lwstate.State) {
+		for id, session := range l.sessions {
+			if rev := s.WorkerRevision(id); rev > l.told[id] {
+				l.told[id] = rev
+				due = append(due, session)
+			}
+		}
+	})
+	l.mu.Unlock()
+	for _, session := range due {
+		call, cancel := context.WithTimeout(ctx, nudgeTimeout)
+		_ = session.Notify(call, lwlink.MethodNudge, struct{}{}) // the next interval catches up
+		cancel()
+	}
+}
+
+func (l *leader) sweep(ctx context.Context, r *replica) {
+	due := false
+	r.read(func(s *lwstate.State) { due = s.NeedsSweep() })
+	if due {
+		l.propose(ctx, r, lwstate.Sweep{})
+	}
+}
+
+// sync renews a worker's leases and tells its agent what should run there.
+func (l *leader) sync(ctx context.Context, r *replica, session *lwrpc.Session, m lwlink.Sync) (lwlink.SyncReply, error) {
+	if !l.takeOffice(r) {
+		return lwlink.SyncReply{}, &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: r.current().leaderAddr}
+	}
+	known := false
+	r.read(func(s *lwstate.State) {
+		w, ok := s.Worker(m.Worker)
+		known = ok && !w.Lost && w.Incarnation == m.Incarnation
+	})
+	if !known {
+		return lwlink.SyncReply{Register: true}, nil
+	}
+	if len(m.Reports) > 0 {
+		if _, _, err := r.propose(ctx, lwstate.ReportTasks{Reports: m.Reports}); err != nil {
+			return lwlink.SyncReply{}, err
+		}
+	}
+	return l.grant(r, session, m)
+}
+
+// grant renews the leases and lists the assignments if they changed. A lease
+// is granted only while no other replica can have been elected.
+func (l *leader) grant(r *replica, session *lwrpc.Session, m lwlink.Sync) (lwlink.SyncReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := r.now()
+	l.observe(now, m)
+	l.sessions[m.Worker] = session
+	lease, ok := l.leases.Renew(m.Worker, now)
+	if !ok {
+		return lwlink.SyncReply{Register: true}, nil
+	}
+	leaseRenewals.Add(1)
+	res := lwlink.SyncReply{Lease: lwunit.Duration(lease)}
+	r.read(func(s *lwstate.State) {
+		res.Revision = s.WorkerRevision(m.Worker)
+		if res.Revision != m.Known || m.Known == 0 {
+			res.Changed = true
+			res.Assignments = assignments(s, m.Worker)
+		}
+	})
+	l.told[m.Worker] = res.Revision
+	if !r.stillLeads(l.term) {
+		return lwlink.SyncReply{}, &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "leadership was lost"}
+	}
+	return res, nil
+}
+
+func (l *leader) observe(time.Duration, lwlink.Sync) {}
+
+func assignments(s *lwstate.State, w lwunit.WorkerID) []lwlink.Assignment {
+	var list []lwlink.Assignment
+	for _, t := range s.TasksOnWorker(w) {
+		j, _ := s.Job(t.Job)
+		list = append(list, lwlink.Assignment{
+			Task: t.ID, Token: t.Token, Program: j.Spec.Program, Reserve: t.Reserve, Checkpoint: t.Checkpoint, Stop: t.Stop,
+			Running: t.Phase == lwstate.TaskRunning,
+		})
+	}
+	return list
+}
+
+// register records a worker's description and readmits it.
+func (l *leader) register(ctx context.Context, r *replica, c lwstate.RegisterWorker) (lwunit.Revision, lwstate.Result, error) {
+	rev, res, err := r.propose(ctx, c)
+	if err == nil && res.Err == nil && l.takeOffice(r) {
+		l.mu.Lock()
+		l.leases.Registered(c.Spec.ID, r.now())
+		l.mu.Unlock()
+	}
+	return rev, res, err
+}
--- /dev/null
+++ b/internal/control/lwcontrol/replica.go
@@ -0,0 +1,495 @@
+// Package lwcontrol runs one control replica: it drives the pure cores for
+// replication and placement, keeps their output on disk and on the wire, and
+// serves entries, agents and operators.
+package lwcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/control/lwwal"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+const (
+	tickInterval     = 10 * time.Millisecond
+	eventQueueLength = 8192
+	maxEventBatch    = 2048
+	snapshotEvery    = 20000 // applied entries
+	commandTimeout   = 5 * time.Second
+)
+
+var (
+	commitLatency = lwmetric.NewHistogram("control_commit_latency")
+	syncLatency   = lwmetric.NewHistogram("control_disk_sync_latency")
+	appliedTotal  = lwmetric.Counter("control_commands_applied_total")
+	elections     = lwmetric.Counter("control_leaderships_won_total")
+	snapshots     = lwmetric.Counter("control_snapshots_total")
+)
+
+// waiter is told what became of one proposal or read.
+type waiter struct {
+	done  chan struct{}
+	index lwreplica.Index
+	term  lwreplica.Term
+	res   lwstate.Result
+	rev   lwunit.Revision
+	err   error
+	start time.Time
+}
+
+func newWaiter() *waiter { return &waiter{done: make(chan struct{}), start: time.Now()} }
+
+func (w *waiter) finish(err error) {
+	w.err = err
+	close(w.done)
+}
+
+// event is an event for the core and the waiter it belongs to, if any.
+type event struct {
+	body   lwreplica.Event
+	id     uint64
+	waiter *waiter
+}
+
+// replica drives one lwreplica.Core.
+type replica struct {
+	log      *zap.Logger
+	wal      *lwwal.Log
+	endpoint *lwrpc.Endpoint
+	id       lwunit.ReplicaID
+	events   chan event
+	start    time.Time
+
+	// Used by the driver goroutine only.
+	core      *lwreplica.Core
+	waiters   map[uint64]*waiter          // proposed, not yet in the log
+	atIndex   map[lwreplica.Index]*waiter // in the log, not yet applied
+	senders   map[lwunit.ReplicaID]*sender
+	applied   lwreplica.Index
+	lastSnap  lwreplica.Index
+	wasLeader bool
+
+	mu      sync.RWMutex // guards what follows; the driver writes it
+	state   *lwstate.State
+	view    view
+	changed chan struct{} // closed and replaced when state changes
+	nextID  uint64
+}
+
+// view is what the rest of the process may know of the core.
+type view struct {
+	role       lwreplica.Role
+	term       lwreplica.Term
+	leader     lwunit.ReplicaID
+	leaderAddr string
+	leads      bool // HoldsLease at the last step
+	leaseUntil time.Time
+	applied    lwreplica.Index
+	commit     lwreplica.Index
+	last       lwreplica.Index
+	membership lwreplica.Membership
+	matches    []matchOf
+}
+
+type matchOf struct {
+	member lwreplica.Member
+	match  lwreplica.Index
+	since  time.Duration
+}
+
+func newReplica(log *zap.Logger, wal *lwwal.Log, c lwwal.Contents, e *lwrpc.Endpoint, cfg lwreplica.Config) (*replica, error) {
+	state, err := lwstate.Restore(c.Restored.Snapshot.Data)
+	if err != nil {
+		return nil, fmt.Errorf("restore state: %w", err)
+	}
+	state.SkipTo(lwunit.Revision(c.Restored.Snapshot.Index))
+	r := &replica{
+		log: log, wal: wal, endpoint: e, id: c.Identity.Replica, events: make(chan event, eventQueueLength), start: time.Now(),
+		waiters: make(map[uint64]*waiter), atIndex: make(map[lwreplica.Index]*waiter), senders: make(map[lwunit.ReplicaID]*sender),
+		applied: c.Restored.Snapshot.Index, lastSnap: c.Restored.Snapshot.Index, state: state, changed: make(chan struct{}),
+	}
+	r.core = lwreplica.New(cfg, c.Restored, 0)
+	r.publish()
+	return r, nil
+}
+
+func (r *replica) now() time.Duration { return time.Since(r.start) }
+
+// run drives the core until ctx ends or the disk fails.
+func (r *replica) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var batch []event
+		select {
+		case <-ctx.Done():
+			r.abandon(ctx.Err())
+			return nil
+		case <-ticker.C:
+			batch = append(batch, event{body: lwreplica.Tick{}})
+		case e := <-r.events:
+			batch = append(batch, e)
+		}
+		batch = append(r.gather(batch), event{body: lwreplica.Flush{}})
+		if err := r.step(ctx, batch); err != nil {
+			r.abandon(err)
+			return fmt.Errorf("control replica: %w", err)
+		}
+	}
+}
+
+func (r *replica) gather(batch []event) []event {
+	for len(batch) < maxEventBatch {
+		select {
+		case e := <-r.events:
+			batch = append(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// step feeds a batch to the core and does what it asks: one disk sync serves
+// every event of the batch.
+func (r *replica) step(ctx context.Context, batch []event) error {
+	var out lwreplica.Output
+	for _, e := range batch {
+		if e.waiter != nil {
+			r.waiters[e.id] = e.waiter
+		}
+		out.Merge(r.core.Step(r.now(), e.body))
+	}
+	for rounds := 0; ; rounds++ {
+		more, err := r.perform(ctx, out)
+		if err != nil {
+			return err
+		}
+		if !more {
+			break
+		}
+		last := r.core.LastIndex()
+		term, _ := r.core.TermAt(last)
+		out = r.core.Step(r.now(), lwreplica.Persisted{Index: last, Term: term})
+	}
+	r.publish()
+	return nil
+}
+
+// perform carries out one output; more is set when entries became durable.
+func (r *replica) perform(ctx context.Context, out lwreplica.Output) (more bool, err error) {
+	r.sendAll(ctx, out.Messages)
+	if err := r.persist(out); err != nil {
+		return false, err
+	}
+	r.sendAll(ctx, out.AfterSync)
+	for _, a := range out.Appended {
+		if w := r.waiters[a.ID]; w != nil {
+			delete(r.waiters, a.ID)
+			w.index, w.term = a.Index, a.Term
+			r.replaceWaiter(a.Index, w)
+		}
+	}
+	r.apply(out)
+	for _, c := range out.Confirmed {
+		if w := r.waiters[c.ID]; w != nil {
+			delete(r.waiters, c.ID)
+			w.index = c.Index
+			w.finish(nil)
+		}
+	}
+	for _, f := range out.Refused {
+		if w := r.waiters[f.ID]; w != nil {
+			delete(r.waiters, f.ID)
+			w.finish(r.redirect(f.Err))
+		}
+	}
+	return len(out.Entries) > 0, nil
+}
+
+func (r *replica) replaceWaiter(i lwreplica.Index, w *waiter) {
+	if old := r.atIndex[i]; old != nil {
+		old.finish(lwfault.New(lwfault.Unavailable, "leadership changed; the command may not have been accepted"))
+	}
+	r.atIndex[i] = w
+}
+
+func (r *replica) persist(out lwreplica.Output) error {
+	began := time.Now()
+	if out.Snapshot != nil {
+		if err := r.wal.SaveSnapshot(*out.Snapshot, out.Entries); err != nil {
+			return err
+		}
+		if out.HardState != nil {
+			return r.wal.Save(out.HardState, nil)
+		}
+		return nil
+	}
+	if out.HardState == nil && len(out.Entries) == 0 {
+		return nil
+	}
+	if err := r.wal.Save(out.HardState, out.Entries); err != nil {
+		return err
+	}
+	syncLatency.Observe(time.Since(began))
+	return nil
+}
+
+func (r *replica) sendAll(ctx context.Context, list []lwreplica.Envelope) {
+	for _, e := range list {
+		w, err := encodeEnvelope(e)
+		if err != nil {
+			r.log.Error("message not sent", zap.Error(err))
+			continue
+		}
+		if s := r.senderFor(ctx, e.To); s != nil {
+			s.send(w)
+		}
+	}
+}
+
+func (r *replica) senderFor(ctx context.Context, id lwunit.ReplicaID) *sender {
+	if s := r.senders[id]; s != nil {
+		return s
+	}
+	for _, m := range r.core.Membership().Members() {
+		if m.ID == id {
+			s := newSender(ctx, r.endpoint.Peer(m.Address))
+			r.senders[id] = s
+			return s
+		}
+	}
+	return nil
+}
+
+// apply changes the state by what was committed and answers those who wait.
+func (r *replica) apply(out lwreplica.Output) {
+	if out.Snapshot == nil && len(out.Committed) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if out.Snapshot != nil {
+		r.restore(*out.Snapshot)
+	}
+	for _, e := range out.Committed {
+		r.applyEntry(e)
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *replica) restore(s lwreplica.Snapshot) {
+	state, err := lwstate.Restore(s.Data)
+	if err != nil {
+		r.log.Fatal("snapshot from the leader does not decode", zap.Error(err))
+	}
+	state.SkipTo(lwunit.Revision(s.Index))
+	r.state = state
+	r.applied, r.lastSnap = s.Index, s.Index
+	r.log.Info("state replaced by a snapshot", zap.Uint64("index", uint64(s.Index)))
+}
+
+func (r *replica) applyEntry(e lwreplica.Entry) {
+	if e.Index <= r.applied {
+		return
+	}
+	r.applied = e.Index
+	var res lwstate.Result
+	if e.Kind == lwreplica.EntryCommand {
+		cmd, at, err := lwstate.DecodeCommand(e.Data)
+		if err != nil {
+			// Every replica must take the same step; one that cannot read a
+			// committed command must not guess.
+			r.log.Fatal("committed command does not decode", zap.Uint64("index", uint64(e.Index)), zap.Error(err))
+		}
+		res = r.state.Apply(lwunit.Revision(e.Index), at, cmd)
+		appliedTotal.Add(1)
+	} else {
+		r.state.SkipTo(lwunit.Revision(e.Index))
+	}
+	w := r.atIndex[e.Index]
+	if w == nil {
+		return
+	}
+	delete(r.atIndex, e.Index)
+	if w.term != e.Term {
+		w.finish(lwfault.New(lwfault.Unavailable, "leadership changed; the command was replaced"))
+		return
+	}
+	w.res, w.rev = res, lwunit.Revision(e.Index)
+	commitLatency.Observe(time.Since(w.start))
+	w.finish(nil)
+}
+
+// publish lets the rest of the process see the core, and takes a snapshot
+// when enough was applied.
+func (r *replica) publish() {
+	v := view{
+		role: r.core.Role(), term: r.core.Term(), leader: r.core.LeaderID(), leads: r.core.HoldsLease(r.now()),
+		leaseUntil: r.start.Add(r.core.LeaseEnd()),
+		applied:    r.applied, commit: r.core.CommitIndex(), last: r.core.LastIndex(), membership: r.core.Membership(),
+	}
+	for _, m := range v.membership.Members() {
+		if m.ID == v.leader {
+			v.leaderAddr = m.Address
+		}
+		if v.role == lwreplica.Leader {
+			match, since, _ := r.core.Match(m.ID)
+			v.matches = append(v.matches, matchOf{m, match, since})
+		}
+	}
+	r.mu.Lock()
+	r.view = v
+	r.mu.Unlock()
+	r.noteRole(v)
+	if r.applied-r.lastSnap >= snapshotEvery {
+		r.takeSnapshot()
+	}
+}
+
+func (r *replica) noteRole(v view) {
+	leads := v.role == lwreplica.Leader
+	if leads == r.wasLeader {
+		return
+	}
+	r.wasLeader = leads
+	if leads {
+		elections.Add(1)
+		r.log.Info("leadership won", zap.Uint64("term", uint64(v.term)))
+		return
+	}
+	r.log.Info("leadership lost", zap.Uint64("term", uint64(v.term)))
+	for i, w := range r.atIndex {
+		delete(r.atIndex, i)
+		w.finish(lwfault.New(lwfault.Unavailable, "leadership was lost; the command may or may not be accepted"))
+	}
+}
+
+func (r *replica) takeSnapshot() {
+	r.mu.RLock()
+	data, err := r.state.Snapshot()
+	r.mu.RUnlock()
+	if err != nil {
+		r.log.Error("snapshot failed", zap.Error(err))
+		return
+	}
+	term, _ := r.core.TermAt(r.applied)
+	s := lwreplica.Snapshot{Index: r.applied, Term: term, Membership: r.core.MembershipAt(r.applied), Data: data}
+	if err := r.wal.SaveSnapshot(s, r.core.EntriesAfter(r.applied)); err != nil {
+		r.log.Fatal("snapshot not saved", zap.Error(err))
+	}
+	r.core.Step(r.now(), lwreplica.Compact{Snapshot: s})
+	r.lastSnap = r.applied
+	snapshots.Add(1)
+}
+
+func (r *replica) abandon(err error) {
+	fault := &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "this control replica stops", Cause: err}
+	for _, w := range r.waiters {
+		w.finish(fault)
+	}
+	for _, w := range r.atIndex {
+		w.finish(fault)
+	}
+	r.waiters, r.atIndex = make(map[uint64]*waiter), make(map[lwreplica.Index]*waiter)
+}
+
+// redirect adds the leader's address to a refusal.
+func (r *replica) redirect(err error) error {
+	f, ok := errors.AsType[*lwfault.Fault](err)
+	if !ok || f.Kind != lwfault.NotLeader {
+		return err
+	}
+	for _, m := range r.core.Membership().Members() {
+		if m.ID == r.core.LeaderID() && m.ID != r.id {
+			f.Leader = m.Address
+		}
+	}
+	return f
+}
+
+// submit queues an event and waits for its waiter.
+func (r *replica) submit(ctx context.Context, build func(id uint64) lwreplica.Event) (*waiter, error) {
+	w := newWaiter()
+	r.mu.Lock()
+	r.nextID++
+	id := r.nextID
+	r.mu.Unlock()
+	select {
+	case r.events <- event{build(id), id, w}:
+	default:
+		return nil, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's queue is full", RetryAfter: time.Second}
+	}
+	select {
+	case <-w.done:
+		return w, w.err
+	case <-ctx.Done():
+		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no quorum answered in time; the command may or may not be accepted", Cause: ctx.Err()}
+	}
+}
+
+// propose commits a command and returns its result.
+func (r *replica) propose(ctx context.Context, c lwstate.Command) (lwunit.Revision, lwstate.Result, error) {
+	data, err := lwstate.EncodeCommand(c, lwunit.Millis(time.Now().UnixMilli()))
+	if err != nil {
+		return 0, lwstate.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.Propose{ID: id, Data: data} })
+	if err != nil {
+		return 0, lwstate.Result{}, err
+	}
+	return w.rev, w.res, nil
+}
+
+// confirm returns an index that a quorum has confirmed as committed.
+func (r *replica) confirm(ctx context.Context) (lwreplica.Index, error) {
+	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.ReadIndex{ID: id} })
+	if err != nil {
+		return 0, err
+	}
+	return w.index, nil
+}
+
+// waitApplied waits until the state includes index i.
+func (r *replica) waitApplied(ctx context.Context, i lwreplica.Index) error {
+	for {
+		r.mu.RLock()
+		applied, changed := r.applied, r.changed
+		r.mu.RUnlock()
+		if applied >= i {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "this replica lags", Cause: ctx.Err()}
+		}
+	}
+}
+
+func (r *replica) current() view {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.view
+}
+
+// read runs f on the state under the read lock.
+func (r *replica) read(f func(*lwstate.State)) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	f(r.state)
+}
--- /dev/null
+++ b/internal/control/lwstate/worker.go
@@ -0,0 +1,146 @@
+package lwstate
+
+import (
+	"sort"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+)
+
+func (s *State) registerWorker(c RegisterWorker) Result {
+	if c.Spec.ID == "" || c.Spec.Capacity.Negative() {
+		return Result{Err: lwfault.New(lwfault.Invalid, "worker: id is required and capacity must not be negative")}
+	}
+	w, ok := s.c.Workers[c.Spec.ID]
+	if !ok {
+		w = &Worker{}
+		s.c.Workers[c.Spec.ID] = w
+	}
+	if ok && w.Spec != c.Spec {
+		s.c.BackendRevision = s.c.Revision // entries learn the new address with the backend servers
+	}
+	if w.Incarnation != c.Incarnation {
+		s.dropBackends(c.Spec.ID)
+	}
+	w.Spec, w.Incarnation, w.Lost = c.Spec, c.Incarnation, false
+	return Result{}
+}
+
+func (s *State) drainWorker(c DrainWorker) Result {
+	w, ok := s.c.Workers[c.Worker]
+	if !ok {
+		return Result{Err: lwfault.New(lwfault.NotFound, "worker %s does not exist", c.Worker)}
+	}
+	w.Drain = c.Drain
+	return Result{}
+}
+
+func (s *State) suspectWorker(c SuspectWorker) Result {
+	w, ok := s.c.Workers[c.Worker]
+	if !ok {
+		return Result{Err: lwfault.New(lwfault.NotFound, "worker %s does not exist", c.Worker)}
+	}
+	w.Suspect = c.Reason
+	return Result{}
+}
+
+// loseWorker ends every attempt on a worker whose leases have ended.
+func (s *State) loseWorker(c LoseWorker) Result {
+	w, ok := s.c.Workers[c.Worker]
+	if !ok || w.Lost {
+		return Result{}
+	}
+	w.Lost = true
+	s.dropBackends(c.Worker)
+	for _, t := range s.TasksOnWorker(c.Worker) {
+		s.stopped(s.c.Tasks[t.ID])
+	}
+	return Result{}
+}
+
+func (s *State) dropBackends(w lwunit.WorkerID) {
+	for id, b := range s.c.Backends {
+		if b.Worker == w {
+			delete(s.c.Backends, id)
+			s.c.BackendRevision = s.c.Revision
+		}
+	}
+}
+
+func (s *State) announceBackend(c AnnounceBackend) Result {
+	w, ok := s.c.Workers[c.Server.Worker]
+	if !ok || w.Incarnation != c.Server.Incarnation {
+		return Result{Err: lwfault.New(lwfault.Fenced, "worker %s has another agent incarnation", c.Server.Worker)}
+	}
+	if old, ok := s.c.Backends[c.Server.ID]; ok && *old == c.Server {
+		return Result{}
+	}
+	b := c.Server
+	s.c.Backends[b.ID] = &b
+	s.c.BackendRevision = s.c.Revision
+	return Result{}
+}
+
+func (s *State) withdrawBackend(c WithdrawBackend) Result {
+	b, ok := s.c.Backends[c.ID]
+	if !ok || b.Incarnation != c.Incarnation {
+		return Result{}
+	}
+	delete(s.c.Backends, c.ID)
+	s.c.BackendRevision = s.c.Revision
+	return Result{}
+}
+
+// Free returns what a worker has left: its capacity less what tasks hold,
+// stops not yet confirmed included, and less what services keep in reserve.
+func (s *State) Free(id lwunit.WorkerID) lwunit.Resources {
+	w, ok := s.c.Workers[id]
+	if !ok {
+		return lwunit.Resources{}
+	}
+	return w.Spec.Capacity.Sub(s.used[id]).Sub(s.ServiceReserve(id))
+}
+
+// ServiceReserve returns what is kept free on a worker beside its backend
+// servers.
+func (s *State) ServiceReserve(id lwunit.WorkerID) lwunit.Resources {
+	var sum lwunit.Resources
+	for _, b := range s.c.Backends {
+		if b.Worker != id {
+			continue
+		}
+		if spec, ok := s.Service(s.c.Workers[id].Spec.Region, b.Service); ok {
+			sum = sum.Add(spec.Reserve)
+		}
+	}
+	return sum
+}
+
+// Worker returns a worker.
+func (s *State) Worker(id lwunit.WorkerID) (Worker, bool) {
+	w, ok := s.c.Workers[id]
+	if !ok {
+		return Worker{}, false
+	}
+	return *w, true
+}
+
+// Workers returns all workers in the order of their names.
+func (s *State) Workers() []Worker {
+	list := make([]Worker, 0, len(s.c.Workers))
+	for _, w := range s.c.Workers {
+		list = append(list, *w)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Spec.ID < list[j].Spec.ID })
+	return list
+}
+
+// Backends returns all backend servers in the order of their names.
+func (s *State) Backends() []BackendServer {
+	list := make([]BackendServer, 0, len(s.c.Backends))
+	for _, b := range s.c.Backends {
+		list = append(list, *b)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
--- /dev/null
+++ b/internal/worker/lwagent/reconcile.go
@@ -0,0 +1,127 @@
+package lwagent
+
+import (
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/worker/lwplatform"
+)
+
+// action is something the agent must ask of the platform.
+type action interface{ action() }
+
+// startTask starts an assigned attempt.
+type startTask struct{ assignment lwlink.Assignment }
+
+// evictTask checkpoints an attempt and stops it.
+type evictTask struct{ attempt lwplatform.Attempt }
+
+// stopTask stops an attempt.
+type stopTask struct{ attempt lwplatform.Attempt }
+
+// forgetTask removes an ended attempt that control knows about.
+type forgetTask struct{ attempt lwplatform.Attempt }
+
+// throttleTask limits an attempt.
+type throttleTask struct {
+	attempt lwplatform.Attempt
+	percent int
+}
+
+func (startTask) action()    {}
+func (evictTask) action()    {}
+func (stopTask) action()     {}
+func (forgetTask) action()   {}
+func (throttleTask) action() {}
+
+// reconcile compares what control assigned with what the platform has, and
+// returns what to do. The assignments are the whole list, so an attempt that
+// is not among them is an old one.
+func reconcile(capacity lwunit.Resources, assigned []lwlink.Assignment, actual []lwplatform.TaskStatus, started map[lwplatform.Attempt]bool) []action {
+	want := make(map[lwunit.TaskID]lwlink.Assignment, len(assigned))
+	for _, a := range assigned {
+		want[a.Task] = a
+	}
+	have := make(map[lwunit.TaskID]lwplatform.TaskStatus, len(actual))
+	var acts []action
+	var used lwunit.Resources
+	for _, t := range actual {
+		have[t.Task] = t
+		if t.State == lwplatform.StateRunning {
+			used = used.Add(t.Reserve)
+		}
+		acts = append(acts, settle(t, want)...)
+	}
+	for _, a := range assigned {
+		t, present := have[a.Task]
+		startable := a.Stop == "" && !a.Running && !started[lwplatform.Attempt{Task: a.Task, Token: a.Token}] &&
+			(!present || (t.Token < a.Token && t.State != lwplatform.StateRunning))
+		// The agent checks room again: a stop that control believes done may
+		// still be under way here.
+		if startable && a.Reserve.Fits(capacity.Sub(used)) {
+			used = used.Add(a.Reserve)
+			acts = append(acts, startTask{a})
+		}
+	}
+	return acts
+}
+
+// settle returns what to do about one attempt that the platform has.
+func settle(t lwplatform.TaskStatus, want map[lwunit.TaskID]lwlink.Assignment) []action {
+	a, assigned := want[t.Task]
+	mine := assigned && a.Token == t.Token
+	running := t.State == lwplatform.StateRunning
+	switch {
+	case running && !mine:
+		return []action{stopTask{t.Attempt}}
+	case running && a.Stop == lwstate.StopEvict:
+		return []action{evictTask{t.Attempt}}
+	case running && a.Stop == lwstate.StopCancel:
+		return []action{stopTask{t.Attempt}}
+	case !running && !mine:
+		return []action{forgetTask{t.Attempt}}
+	default:
+		return nil
+	}
+}
+
+// reports tells control of every assigned attempt whose state it does not
+// know yet. An assigned attempt with a stop request that the platform does not
+// have was never started or is gone, so its stop is confirmed.
+func reports(assigned []lwlink.Assignment, actual []lwplatform.TaskStatus, told map[lwplatform.Attempt]lwstate.TaskEvent, started map[lwplatform.Attempt]bool) []lwstate.TaskReport {
+	have := make(map[lwplatform.Attempt]lwplatform.TaskStatus, len(actual))
+	for _, t := range actual {
+		have[t.Attempt] = t
+	}
+	var list []lwstate.TaskReport
+	for _, a := range assigned {
+		at := lwplatform.Attempt{Task: a.Task, Token: a.Token}
+		t, present := have[at]
+		r := lwstate.TaskReport{Task: a.Task, Token: a.Token}
+		switch {
+		case present:
+			r.Event, r.Checkpoint, r.Reason = eventOf(t.State), t.Checkpoint, t.Reason
+		case a.Stop != "" || a.Running || started[at]:
+			r.Event, r.Reason = lwstate.EventStopped, "the platform does not have it"
+		default:
+			continue
+		}
+		if told[at] != r.Event {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func eventOf(s lwplatform.TaskState) lwstate.TaskEvent {
+	switch s {
+	case lwplatform.StateSucceeded:
+		return lwstate.EventSucceeded
+	case lwplatform.StateFailed:
+		return lwstate.EventFailed
+	case lwplatform.StateStopped:
+		return lwstate.EventStopped
+	default:
+		return lwstate.EventRunning
+	}
+}
--- /dev/null
+++ b/internal/worker/lwagent/serve.go
@@ -0,0 +1,327 @@
+package lwagent
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
+	"lavenderweir.example/lavenderweir/internal/base/lwtrace"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/net/lwheader"
+	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
+)
+
+// Paths that an agent serves.
+const (
+	PathAnnounce = "/agent/v1/announce" // backend servers, from the same VM
+	PathWithdraw = "/agent/v1/withdraw" // backend servers, from the same VM
+	PathSettle   = "/agent/v1/settle"   // entries
+	PathGate     = "/gate"              // entries; the backend server's path follows
+)
+
+const copyBytes = 32 << 10
+
+var (
+	agentTruncated  = lwmetric.Counter("agent_truncated_answers_total")
+	agentStaleEntry = lwmetric.Counter("agent_stale_entry_refusals_total")
+)
+
+type announceParams struct {
+	ID      lwunit.BackendServerID `json:"id"`
+	Service lwunit.ServiceName     `json:"service"`
+	Address string                 `json:"address"`
+	Lease   lwunit.Duration        `json:"lease,omitempty"`
+}
+
+type withdrawParams struct {
+	ID lwunit.BackendServerID `json:"id"`
+}
+
+// SettleRequest asks what became of a claim; a claim that has not started is
+// fenced by asking.
+type SettleRequest struct {
+	Incarnation lwunit.Incarnation  `json:"incarnation"`
+	Token       lwunit.FencingToken `json:"token"`
+}
+
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PathAnnounce, a.local(a.serveAnnounce))
+	mux.HandleFunc(PathWithdraw, a.local(a.serveWithdraw))
+	mux.HandleFunc(PathSettle, a.trusted(a.serveSettle))
+	mux.HandleFunc(PathGate+"/", a.trusted(a.serveGate))
+	return mux
+}
+
+// local admits requests from the agent's own VM only.
+func (a *Agent) local(next http.HandlerFunc) http.HandlerFunc {
+	own, _, _ := net.SplitHostPort(a.cfg.GateAddress)
+	return func(w http.ResponseWriter, r *http.Request) {
+		host, _, err := net.SplitHostPort(r.RemoteAddr)
+		ip := net.ParseIP(host)
+		if err != nil || ip == nil || (!ip.IsLoopback() && host != own) {
+			lwhttp.WriteProblem(w, lwfault.New(lwfault.Forbidden, "backend servers announce themselves from their own VM"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+// trusted admits entries, which know the cluster key.
+func (a *Agent) trusted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !lwhttp.SameToken(r.Header.Get(lwheader.ClusterKey), a.cfg.ClusterKey) {
+			refuse(w, lwfault.New(lwfault.Unauthorized, "the cluster key does not match"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (a *Agent) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var p announceParams
+	err := lwhttp.ReadJSON(r, &p)
+	if err == nil {
+		err = a.backends.announce(p.ID, p.Service, p.Address, p.Lease.Std())
+	}
+	if err != nil {
+		lwhttp.WriteProblem(w, err)
+		return
+	}
+	lwhttp.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+// serveWithdraw answers once nothing of the backend server is in flight, so
+// that the server may stop when it has the answer.
+func (a *Agent) serveWithdraw(w http.ResponseWriter, r *http.Request) {
+	var p withdrawParams
+	err := lwhttp.ReadJSON(r, &p)
+	var idle <-chan struct{}
+	if err == nil {
+		idle, err = a.backends.withdraw(p.ID)
+	}
+	if err != nil {
+		lwhttp.WriteProblem(w, err)
+		return
+	}
+	select {
+	case <-idle:
+		lwhttp.WriteJSON(w, http.StatusOK, struct{}{})
+	case <-r.Context().Done():
+	}
+}
+
+func (a *Agent) serveSettle(w http.ResponseWriter, r *http.Request) {
+	var p SettleRequest
+	if err := lwhttp.ReadJSON(r, &p); err != nil {
+		lwhttp.WriteProblem(w, err)
+		return
+	}
+	if p.Incarnation != a.cfg.Incarnation {
+		lwhttp.WriteProblem(w, lwfault.New(lwfault.Fenced, "this agent is another incarnation"))
+		return
+	}
+	lwhttp.WriteJSON(w, http.StatusOK, a.runs.Settle(p.Token))
+}
+
+// refuse answers that the request was not run here.
+func refuse(w http.ResponseWriter, err error) {
+	w.Header().Set(lwheader.Refused, string(lwfault.KindOf(err)))
+	lwhttp.WriteProblem(w, err)
+}
+
+// serveGate admits one request and passes it to its backend server.
+func (a *Agent) serveGate(w http.ResponseWriter, r *http.Request) {
+	ctx, span := lwtrace.Continue(r.Context(), r.Header, "agent")
+	defer span.End()
+	s, ok := a.backends.get(lwunit.BackendServerID(r.Header.Get(lwheader.Backend)))
+	if !ok {
+		agentStaleEntry.Add(1)
+		w.Header().Set(lwheader.Leaving, "true")
+		refuse(w, lwfault.New(lwfault.Unavailable, "the backend server is not announced here"))
+		return
+	}
+	left, err := strconv.ParseInt(r.Header.Get(lwheader.TimeLeft), 10, 64)
+	if err != nil {
+		refuse(w, lwfault.New(lwfault.Invalid, "%s is required", lwheader.TimeLeft))
+		return
+	}
+	deadline := time.Now().Add(time.Duration(left) * time.Microsecond)
+	slot, err := s.gate.Enter(ctx, deadline)
+	if err != nil {
+		s.writeLoad(w)
+		refuse(w, err)
+		return
+	}
+	defer slot.Leave()
+	token, err := a.startClaim(r)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	if token != 0 {
+		// The outcome of a non-idempotent run must be known even when the
+		// entry that sent it is gone.
+		ctx = context.WithoutCancel(ctx)
+	}
+	call, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	began := time.Now()
+	answer := a.pass(call, w, r, s)
+	if spec, ok := a.service(s.service); ok {
+		s.finish(time.Since(began), spec.TailTarget.Std())
+	}
+	if token != 0 {
+		a.runs.Finish(token, answer)
+	}
+}
+
+// startClaim marks a non-idempotent request as started. From here on it counts
+// as run; before, it certainly was not.
+func (a *Agent) startClaim(r *http.Request) (lwunit.FencingToken, error) {
+	text := r.Header.Get(lwheader.Claim)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, lwfault.New(lwfault.Invalid, "%s must be a number", lwheader.Claim)
+	}
+	if lwunit.Incarnation(r.Header.Get(lwheader.Incarnation)) != a.cfg.Incarnation {
+		return 0, lwfault.New(lwfault.Fenced, "the claim is bound to another incarnation of this agent")
+	}
+	token := lwunit.FencingToken(n)
+	return token, a.runs.Start(token)
+}
+
+func (s *backend) writeLoad(w http.ResponseWriter) {
+	l := s.gate.Load()
+	w.Header().Set(lwheader.Load, fmt.Sprintf("%d,%d,%d", l.Busy, l.Queued, l.Slots))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		w.Header().Set(lwheader.Leaving, "true")
+	}
+}
+
+// pass sends the request to the backend server and its answer to the entry. It
+// returns the answer if it arrived whole.
+func (a *Agent) pass(ctx context.Context, w http.ResponseWriter, r *http.Request, s *backend) *lwstate.Answer {
+	ctx, span := lwtrace.Start(ctx, "backend_server")
+	defer span.End()
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+s.address+r.URL.RequestURI()[len(PathGate):], r.Body)
+	if err != nil {
+		lwhttp.WriteProblem(w, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "request", Cause: err})
+		return nil
+	}
+	lwheader.Copy(req.Header, r.Header)
+	lwtrace.Inject(ctx, req.Header)
+	req.ContentLength = contentLength(r)
+	if req.ContentLength == 0 && r.Header.Get(lwheader.Claim) == "" {
+		// Not for a claimed request: the transport may resend one without a body.
+		req.Body = http.NoBody
+	}
+	began := time.Now()
+	res, err := s.httpClient().Do(req)
+	if err != nil {
+		writeBackendError(w, r, err)
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	lwheader.Copy(w.Header(), res.Header)
+	s.writeLoad(w)
+	w.Header().Set(lwheader.ServiceTime, strconv.FormatInt(time.Since(began).Microseconds(), 10))
+	if res.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
+	}
+	w.WriteHeader(res.StatusCode)
+	return copyAnswer(w, res)
+}
+
+func contentLength(r *http.Request) int64 {
+	if n, err := strconv.ParseInt(r.Header.Get("Content-Length"), 10, 64); err == nil {
+		return n
+	}
+	if len(r.TransferEncoding) > 0 {
+		return -1
+	}
+	return 0
+}
+
+// writeBackendError tells the entry whether the request may have run. A failed
+// dial means that it certainly did not, unless a claim already counts it.
+func writeBackendError(w http.ResponseWriter, r *http.Request, err error) {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" && r.Header.Get(lwheader.Claim) == "" {
+		refuse(w, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "the backend server does not accept connections", Cause: err})
+		return
+	}
+	kind := lwfault.Unknown
+	if errors.Is(err, context.DeadlineExceeded) {
+		kind = lwfault.Timeout
+	}
+	lwhttp.WriteProblem(w, &lwfault.Fault{Kind: kind, Detail: "no answer from the backend server", Cause: err})
+}
+
+// copyAnswer streams the answer and keeps its digest, and its body if small.
+// A truncated answer closes the connection, so that it cannot pass as whole.
+func copyAnswer(w http.ResponseWriter, res *http.Response) *lwstate.Answer {
+	sum := sha256.New()
+	answer := &lwstate.Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Whole: true}
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 {
+			sum.Write(buf[:n])
+			answer.Size += int64(n)
+			if answer.Size <= lwstate.MaxAnswerBytes {
+				answer.Body = append(answer.Body, buf[:n]...)
+			} else {
+				answer.Body, answer.Whole = nil, false
+			}
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				lwhttp.Abort(w)
+				return finishUnread(res, answer, sum, buf)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			answer.Digest = hex.EncodeToString(sum.Sum(nil))
+			return answer
+		}
+		if err != nil {
+			agentTruncated.Add(1)
+			lwhttp.Abort(w)
+			return nil
+		}
+	}
+}
+
+type digester interface {
+	io.Writer
+	Sum(b []byte) []byte
+}
+
+// finishUnread reads the rest of an answer whose entry is gone, so that the
+// run's outcome is still known to a resend.
+func finishUnread(res *http.Response, answer *lwstate.Answer, sum digester, buf []byte) *lwstate.Answer {
+	n, err := io.CopyBuffer(sum, res.Body, buf)
+	if err != nil {
+		return nil
+	}
+	answer.Size += n
+	if n > 0 {
+		answer.Body, answer.Whole = nil, false
+	}
+	answer.Digest = hex.EncodeToString(sum.Sum(nil))
+	return answer
+}
--- /dev/null
+++ b/internal/worker/lwstandin/backend.go
@@ -0,0 +1,201 @@
+package lwstandin
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/net/lwheader"
+	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
+)
+
+const (
+	announceLease    = 5 * time.Second
+	announceInterval = time.Second
+	announceTimeout  = 2 * time.Second
+)
+
+// Behaviour is how a stand-in backend server treats a request.
+type Behaviour struct {
+	Delay    func() time.Duration // service time; nil is none
+	Truncate bool                 // break off in the middle of the answer
+	Status   int                  // 0 is 200
+	Hang     bool                 // never answer
+}
+
+// Backend is a stand-in backend server. Its answer to a request is Render of
+// the request's body, and it counts runs by idempotency key.
+type Backend struct {
+	ID      lwunit.BackendServerID
+	Service lwunit.ServiceName
+
+	server *lwhttp.Server
+	agent  string
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	runs      map[string]int
+	inFlight  int
+	peak      int
+	total     int
+}
+
+// Render is the answer that a stand-in backend server gives to a body.
+func Render(body []byte) []byte {
+	sum := sha256.Sum256(body)
+	return fmt.Appendf(nil, "rendered %d bytes %s\n", len(body), hex.EncodeToString(sum[:]))
+}
+
+// StartBackend starts a backend server on loopback and announces it to the
+// agent at the given address until it is stopped.
+func StartBackend(id lwunit.BackendServerID, service lwunit.ServiceName, agent string) (*Backend, error) {
+	b := &Backend{ID: id, Service: service, agent: agent, runs: make(map[string]int)}
+	server, err := lwhttp.Listen(lwhttp.Config{Name: string(id), Address: "127.0.0.1:0", Handler: http.HandlerFunc(b.serve)})
+	if err != nil {
+		return nil, fmt.Errorf("start backend server %s: %w", id, err)
+	}
+	b.server = server
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	if agent != "" {
+		b.done.Go(func() { b.announceLoop(ctx) })
+	}
+	return b, nil
+}
+
+// Address returns where the backend server listens.
+func (b *Backend) Address() string { return b.server.Address() }
+
+// SetBehaviour changes how requests are treated.
+func (b *Backend) SetBehaviour(h Behaviour) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behaviour = h
+}
+
+// Runs returns how often a request with the key was run.
+func (b *Backend) Runs(key string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[key]
+}
+
+// Total returns the number of requests run.
+func (b *Backend) Total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
+// Peak returns the most requests that ran at one time.
+func (b *Backend) Peak() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peak
+}
+
+func (b *Backend) begin(key string) Behaviour {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.total++
+	b.inFlight++
+	b.peak = max(b.peak, b.inFlight)
+	if key != "" {
+		b.runs[key]++
+	}
+	return b.behaviour
+}
+
+func (b *Backend) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.inFlight--
+}
+
+func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		lwhttp.WriteProblem(w, err)
+		return
+	}
+	h := b.begin(r.Header.Get(lwheader.IdempotencyKey))
+	defer b.end()
+	if h.Hang {
+		<-r.Context().Done()
+		return
+	}
+	if h.Delay != nil {
+		time.Sleep(h.Delay())
+	}
+	answer := Render(body)
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	if h.Status != 0 {
+		w.WriteHeader(h.Status)
+	}
+	if h.Truncate {
+		_, _ = w.Write(answer[:len(answer)/2])
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+		lwhttp.Abort(w)
+		return
+	}
+	_, _ = w.Write(answer)
+}
+
+func (b *Backend) announceLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		_ = b.post(ctx, "/agent/v1/announce", map[string]string{
+			"id": string(b.ID), "service": string(b.Service), "address": b.Address(), "lease": announceLease.String(),
+		})
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceInterval):
+		}
+	}
+}
+
+func (b *Backend) post(ctx context.Context, path string, doc map[string]string) error {
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.agent+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("post %s: %w", path, err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("post %s: %w", path, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return lwhttp.ReadProblem(res)
+	}
+	return nil
+}
+
+// Withdraw gives notice and returns once nothing is in flight here.
+func (b *Backend) Withdraw(ctx context.Context) error {
+	b.cancel()
+	b.done.Wait()
+	return b.post(ctx, "/agent/v1/withdraw", map[string]string{"id": string(b.ID)})
+}
+
+// Kill stops the backend server without notice.
+func (b *Backend) Kill() {
+	b.cancel()
+	b.done.Wait()
+	b.server.Close()
+}
