--- a/internal/control/lwreplica/cluster_test.go
+++ b/internal/control/lwreplica/cluster_test.go
@@ -39,10 +39,12 @@
 
 type deliveries []delivery
 
-func (d deliveries) Len() int           { return len(d) }
-func (d deliveries) Less(i, j int) bool { return d[i].at < d[j].at || (d[i].at == d[j].at && d[i].seq < d[j].seq) }
-func (d deliveries) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
-func (d *deliveries) Push(x any)        { *d = append(*d, x.(delivery)) }
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at < d[j].at || (d[i].at == d[j].at && d[i].seq < d[j].seq)
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
 func (d *deliveries) Pop() any {
 	old := *d
 	x := old[len(old)-1]
@@ -72,10 +74,10 @@
 
 	committed map[lwreplica.Index]lwreplica.Entry // by any replica
 	highest   lwreplica.Index
-	acked     map[lwreplica.Index]string         // proposals that were answered as accepted
-	waiting   map[uint64]string                  // proposals without an answer
-	placed    map[uint64]lwreplica.Appended      // where they stand
-	reads     map[uint64]lwreplica.Index         // floor that a read must not go below
+	acked     map[lwreplica.Index]string    // proposals that were answered as accepted
+	waiting   map[uint64]string             // proposals without an answer
+	placed    map[uint64]lwreplica.Appended // where they stand
+	reads     map[uint64]lwreplica.Index    // floor that a read must not go below
 	confirmed int
 	snapshots int
 }
--- a/internal/control/lwstate/worker.go
+++ b/internal/control/lwstate/worker.go
@@ -52,8 +52,12 @@
 	}
 	w.Lost = true
 	s.dropBackends(c.Worker)
-	for _, t := range s.TasksOnWorker(c.Worker) {
-		s.stopped(s.c.Tasks[t.ID])
+	for _, held := range s.TasksOnWorker(c.Worker) {
+		t := s.c.Tasks[held.ID]
+		if t.Stop == StopEvict {
+			t.Stop = "" // nobody confirmed the stop: the attempt is lost, not evicted
+		}
+		s.stopped(t)
 	}
 	return Result{}
 }
