--- /dev/null
+++ b/internal/command/lwcommand/bench_decisions.go
@@ -0,0 +1,68 @@
+package lwcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"lavenderweir.example/lavenderweir/internal/bench/lwscenario"
+)
+
+var benchDecisionsVerb = &verb{
+	name:  "bench decisions",
+	short: "measure placement against baselines in recorded scenarios",
+	usage: `usage: lavenderweir bench decisions [--scenario TEXT] [--variant TEXT] [--output FORM]
+
+Drives the placement core through recorded scenarios on fakes of twelve workers,
+with fixed seeds, for both deployments, and each baseline through the same.
+
+  --scenario TEXT   only scenarios whose name contains TEXT
+  --variant TEXT    only variants whose name contains TEXT
+  --output FORM     table or json (default table)`,
+	run: runBenchDecisions,
+}
+
+const benchSeed = 42
+
+func runBenchDecisions(args []string, io streams) error {
+	var scenario, variant string
+	output := outputTable
+	p := newParser("bench decisions")
+	p.String(&scenario, "", "scenario", "only scenarios whose name contains this")
+	p.String(&variant, "", "variant", "only variants whose name contains this")
+	p.String(&output, "o", "output", "table or json")
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	var results []lwscenario.Result
+	for _, d := range []string{"kirishima", "papeles"} {
+		for _, sc := range lwscenario.Scenarios() {
+			for _, v := range lwscenario.Variants() {
+				if !strings.Contains(sc.Name, scenario) || !strings.Contains(v.Name, variant) {
+					continue
+				}
+				res, err := lwscenario.Run(sc, d, v, benchSeed)
+				if err != nil {
+					return err
+				}
+				results = append(results, res)
+			}
+		}
+	}
+	if output == outputJSON {
+		return json.NewEncoder(io.out).Encode(results)
+	}
+	return decisionTable(results).write(io)
+}
+
+func decisionTable(results []lwscenario.Result) table {
+	t := table{{"DEPLOYMENT", "SCENARIO", "VARIANT", "LATE %", "THROUGHPUT", "EVICTIONS", "LOST WORK", "URGENT P99", "WORST", "OUT OF MEMORY", "OVERCOMMIT", "DOUBLED", "FINISHED"}}
+	for _, r := range results {
+		t = append(t, []string{
+			r.Deployment, r.Scenario, r.Variant, fmt.Sprintf("%.3f", r.Late), fmt.Sprintf("%.3f", r.Throughput), fmt.Sprint(r.Evictions),
+			fmt.Sprintf("%.4f", r.LostWork), r.UrgentP99.String(), r.UrgentWorst.String(), fmt.Sprint(r.OutOfMemory),
+			fmt.Sprint(r.Overcommit), fmt.Sprint(r.Doubled), fmt.Sprint(r.Finished),
+		})
+	}
+	return t
+}
--- a/internal/control/lwcontrol/leader.go
+++ b/internal/control/lwcontrol/leader.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -190,14 +192,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := r.now()
-	l.observe(now, m)
+	r.read(func(s *lwstate.State) { l.observe(now, s, m) })
 	l.sessions[m.Worker] = session
 	lease, ok := l.leases.Renew(m.Worker, now)
 	if !ok {
 		return lwlink.SyncReply{Register: true}, nil
 	}
 	leaseRenewals.Add(1)
-	res := lwlink.SyncReply{Lease: lwunit.Duration(lease)}
+	res := lwlink.SyncReply{Lease: lwunit.Duration(lease), Throttles: l.throttles(m.Worker)}
 	r.read(func(s *lwstate.State) {
 		res.Revision = s.WorkerRevision(m.Worker)
 		if res.Revision != m.Known || m.Known == 0 {
@@ -212,7 +214,34 @@
 	return res, nil
 }
 
-func (l *leader) observe(time.Duration, lwlink.Sync) {}
+// observe gives the placement core what an agent saw.
+func (l *leader) observe(now time.Duration, s *lwstate.State, m lwlink.Sync) {
+	for _, u := range m.Usage {
+		l.core.Observe(now, s, lwplacement.UsageSeen{Task: u.Task, Used: u.Used, Age: u.Age.Std()})
+	}
+	w, _ := s.Worker(m.Worker)
+	for _, g := range m.Signals {
+		spec, _ := s.Service(w.Spec.Region, g.Service)
+		l.core.Observe(now, s, lwplacement.SignalSeen{
+			Worker: m.Worker, Service: g.Service, Requests: g.Requests, Late: g.Late, Busy: g.Busy, Queued: g.Queued, Slots: spec.Slots,
+		})
+	}
+	for _, t := range m.Reports {
+		if t.Event == lwstate.EventSucceeded || t.Event == lwstate.EventFailed {
+			l.core.Observe(now, s, lwplacement.AttemptEnded{Worker: m.Worker, Task: t.Task, Failed: t.Event == lwstate.EventFailed})
+		}
+	}
+}
+
+// throttles lists the limits in force on a worker, in the order of the tasks.
+func (l *leader) throttles(w lwunit.WorkerID) []lwlink.Throttle {
+	var list []lwlink.Throttle
+	for id, percent := range l.core.Throttles(w) {
+		list = append(list, lwlink.Throttle{Task: id, Percent: percent})
+	}
+	slices.SortFunc(list, func(a, b lwlink.Throttle) int { return strings.Compare(string(a.Task), string(b.Task)) })
+	return list
+}
 
 func assignments(s *lwstate.State, w lwunit.WorkerID) []lwlink.Assignment {
 	var list []lwlink.Assignment
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -70,6 +70,19 @@
 	Placements []Placement `json:"placements"`
 }
 
+// Resize changes what a task holds on its worker.
+type Resize struct {
+	Task    lwunit.TaskID       `json:"task"`
+	Token   lwunit.FencingToken `json:"token"`
+	Reserve lwunit.Resources    `json:"reserve"`
+}
+
+// ResizeTasks changes reserves to what tasks really use. A growth that does
+// not fit is skipped.
+type ResizeTasks struct {
+	Resizes []Resize `json:"resizes"`
+}
+
 // StopTasks asks for tasks to be stopped.
 type StopTasks struct {
 	Tasks  []lwunit.TaskID `json:"tasks"`
@@ -144,6 +157,7 @@
 func (SuspectWorker) command()   {}
 func (LoseWorker) command()      {}
 func (PlaceTasks) command()      {}
+func (ResizeTasks) command()     {}
 func (StopTasks) command()       {}
 func (ReportTasks) command()     {}
 func (AnnounceBackend) command() {}
@@ -178,6 +192,8 @@
 		return "lose_worker"
 	case PlaceTasks:
 		return "place_tasks"
+	case ResizeTasks:
+		return "resize_tasks"
 	case StopTasks:
 		return "stop_tasks"
 	case ReportTasks:
@@ -244,6 +260,8 @@
 		return decodeAs[LoseWorker](w.Body)
 	case "place_tasks":
 		return decodeAs[PlaceTasks](w.Body)
+	case "resize_tasks":
+		return decodeAs[ResizeTasks](w.Body)
 	case "stop_tasks":
 		return decodeAs[StopTasks](w.Body)
 	case "report_tasks":
--- a/internal/control/lwstate/job.go
+++ b/internal/control/lwstate/job.go
@@ -202,6 +202,25 @@
 	return ""
 }
 
+func (s *State) resizeTasks(c ResizeTasks) Result {
+	var res Result
+	for _, r := range c.Resizes {
+		t, ok := s.c.Tasks[r.Task]
+		if !ok || t.Token != r.Token || !t.Phase.Held() || r.Reserve.Negative() {
+			continue
+		}
+		room := s.Free(t.Worker).Add(t.Reserve)
+		if !r.Reserve.Fits(room) && !r.Reserve.Fits(t.Reserve) {
+			res.Skipped = append(res.Skipped, SkippedPlacement{r.Task, "the worker has no room"})
+			continue
+		}
+		s.leave(t)
+		t.Reserve = r.Reserve
+		s.enter(t)
+	}
+	return res
+}
+
 func (s *State) stopTasks(c StopTasks) Result {
 	for _, id := range c.Tasks {
 		if t, ok := s.c.Tasks[id]; ok {
@@ -360,3 +379,17 @@
 	})
 	return list[:min(limit, len(list))]
 }
+
+// Waits reports whether a job has queued tasks.
+func (s *State) Waits(id lwunit.JobID) bool { return len(s.waiting[id]) > 0 }
+
+// HeldTasks returns the tasks of a job that hold resources.
+func (s *State) HeldTasks(id lwunit.JobID) []Task {
+	var list []Task
+	for _, task := range s.jobTasks[id] {
+		if t := s.c.Tasks[task]; t.Phase.Held() {
+			list = append(list, *t)
+		}
+	}
+	return list
+}
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -53,6 +54,8 @@
 	jobTasks map[lwunit.JobID][]lwunit.TaskID
 	waiting  map[lwunit.JobID]map[lwunit.TaskID]*Task // queued tasks by job
 	changed  map[lwunit.WorkerID]lwunit.Revision      // when a worker's tasks last changed
+	serving  map[lwunit.WorkerID][]*BackendServer     // backend servers by worker
+	sorted   []lwunit.WorkerID                        // all workers, in order
 }
 
 // New returns the empty state.
@@ -109,6 +112,12 @@
 	s.jobTasks = make(map[lwunit.JobID][]lwunit.TaskID)
 	s.waiting = make(map[lwunit.JobID]map[lwunit.TaskID]*Task)
 	s.changed = make(map[lwunit.WorkerID]lwunit.Revision)
+	s.indexBackends()
+	s.sorted = s.sorted[:0]
+	for id := range s.c.Workers {
+		s.sorted = append(s.sorted, id)
+	}
+	slices.Sort(s.sorted)
 	for _, t := range s.c.Tasks {
 		s.jobTasks[t.Job] = append(s.jobTasks[t.Job], t.ID)
 		s.enter(t)
@@ -118,6 +127,17 @@
 	}
 }
 
+// indexBackends lists the backend servers of each worker. They change seldom.
+func (s *State) indexBackends() {
+	s.serving = make(map[lwunit.WorkerID][]*BackendServer)
+	for _, b := range s.c.Backends {
+		s.serving[b.Worker] = append(s.serving[b.Worker], b)
+	}
+	for _, list := range s.serving {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+}
+
 // enter adds t to the indexes of its phase; leave removes it. Every change of
 // a task's phase, worker or reserve stands between leave and enter.
 func (s *State) enter(t *Task) {
@@ -186,6 +206,8 @@
 		return s.loseWorker(c)
 	case PlaceTasks:
 		return s.placeTasks(c)
+	case ResizeTasks:
+		return s.resizeTasks(c)
 	case StopTasks:
 		return s.stopTasks(c)
 	case ReportTasks:
--- a/internal/control/lwstate/state_test.go
+++ b/internal/control/lwstate/state_test.go
@@ -281,6 +281,12 @@
 				m.d.apply(lwstate.StopTasks{Tasks: []lwunit.TaskID{task.ID}, Reason: lwstate.StopEvict})
 			}
 		},
+		"resize": func(t *rapid.T) {
+			if task, ok := m.task(t); ok {
+				reserve := lwunit.Resources{Millicores: lwunit.Millicores(rapid.IntRange(0, 5000).Draw(t, "cpu")), Memory: lwunit.GiB}
+				m.d.apply(lwstate.ResizeTasks{Resizes: []lwstate.Resize{{Task: task.ID, Token: task.Token, Reserve: reserve}}})
+			}
+		},
 		"report":      m.report,
 		"lose worker": func(t *rapid.T) { m.d.apply(lwstate.LoseWorker{Worker: worker(t)}) },
 		"worker returns": func(t *rapid.T) {
--- a/internal/control/lwstate/worker.go
+++ b/internal/control/lwstate/worker.go
@@ -1,6 +1,7 @@
 package lwstate
 
 import (
+	"slices"
 	"sort"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -15,6 +16,8 @@
 	if !ok {
 		w = &Worker{}
 		s.c.Workers[c.Spec.ID] = w
+		at, _ := slices.BinarySearch(s.sorted, c.Spec.ID)
+		s.sorted = slices.Insert(s.sorted, at, c.Spec.ID)
 	}
 	if ok && w.Spec != c.Spec {
 		s.c.BackendRevision = s.c.Revision // entries learn the new address with the backend servers
@@ -63,12 +66,11 @@
 }
 
 func (s *State) dropBackends(w lwunit.WorkerID) {
-	for id, b := range s.c.Backends {
-		if b.Worker == w {
-			delete(s.c.Backends, id)
-			s.c.BackendRevision = s.c.Revision
-		}
+	for _, b := range s.serving[w] {
+		delete(s.c.Backends, b.ID)
+		s.c.BackendRevision = s.c.Revision
 	}
+	delete(s.serving, w)
 }
 
 func (s *State) announceBackend(c AnnounceBackend) Result {
@@ -82,6 +84,7 @@
 	b := c.Server
 	s.c.Backends[b.ID] = &b
 	s.c.BackendRevision = s.c.Revision
+	s.indexBackends()
 	return Result{}
 }
 
@@ -92,6 +95,7 @@
 	}
 	delete(s.c.Backends, c.ID)
 	s.c.BackendRevision = s.c.Revision
+	s.indexBackends()
 	return Result{}
 }
 
@@ -109,10 +113,7 @@
 // servers.
 func (s *State) ServiceReserve(id lwunit.WorkerID) lwunit.Resources {
 	var sum lwunit.Resources
-	for _, b := range s.c.Backends {
-		if b.Worker != id {
-			continue
-		}
+	for _, b := range s.serving[id] {
 		if spec, ok := s.Service(s.c.Workers[id].Spec.Region, b.Service); ok {
 			sum = sum.Add(spec.Reserve)
 		}
@@ -131,11 +132,20 @@
 
 // Workers returns all workers in the order of their names.
 func (s *State) Workers() []Worker {
-	list := make([]Worker, 0, len(s.c.Workers))
-	for _, w := range s.c.Workers {
-		list = append(list, *w)
+	list := make([]Worker, 0, len(s.sorted))
+	for _, id := range s.sorted {
+		list = append(list, *s.c.Workers[id])
+	}
+	return list
+}
+
+// BackendsOn returns the backend servers of a worker in the order of their
+// names.
+func (s *State) BackendsOn(id lwunit.WorkerID) []BackendServer {
+	list := make([]BackendServer, 0, len(s.serving[id]))
+	for _, b := range s.serving[id] {
+		list = append(list, *b)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Spec.ID < list[j].Spec.ID })
 	return list
 }
 
--- a/internal/worker/lwagent/agent.go
+++ b/internal/worker/lwagent/agent.go
@@ -25,6 +25,7 @@
 
 const (
 	syncInterval     = 2 * time.Second
+	fullSpeed        = 100 // percent
 	platformPoll     = 500 * time.Millisecond
 	usageInterval    = 10 * time.Second
 	callTimeout      = 2 * time.Second
--- a/internal/worker/lwagent/sync.go
+++ b/internal/worker/lwagent/sync.go
@@ -202,15 +202,24 @@
 	return again
 }
 
+// throttles returns what to change so that the limits are as control lists
+// them; a task that is not listed runs at full speed.
 func (a *Agent) throttles(list []lwlink.Throttle) []action {
-	var acts []action
+	want := make(map[lwunit.TaskID]int, len(list))
 	for _, t := range list {
-		for _, as := range a.assigned {
-			at := lwplatform.Attempt{Task: as.Task, Token: as.Token}
-			if as.Task == t.Task && a.throttled[at] != t.Percent {
-				a.throttled[at] = t.Percent
-				acts = append(acts, throttleTask{at, t.Percent})
-			}
+		want[t.Task] = t.Percent
+	}
+	var acts []action
+	for _, as := range a.assigned {
+		at := lwplatform.Attempt{Task: as.Task, Token: as.Token}
+		percent := fullSpeed
+		if p, ok := want[as.Task]; ok {
+			percent = p
+		}
+		now, set := a.throttled[at]
+		if percent != now && (set || percent != fullSpeed) {
+			a.throttled[at] = percent
+			acts = append(acts, throttleTask{at, percent})
 		}
 	}
 	return acts
