Price quiet room, wait for it, explain lagging signals by what ran then

Cause: quiet workers filled with harmless work before noisy work came; pairs were learned by team and from what ran now instead of what ran then.

--- a/internal/bench/lwscenario/drive.go
+++ b/internal/bench/lwscenario/drive.go
@@ -308,7 +308,7 @@
 		d.core.Observe(d.now, d.state, lwplacement.UsageSeen{Task: id, Used: s.usage[id], Age: signalLag})
 	}
 	if w.service {
-		d.core.Observe(d.now, d.state, lwplacement.SignalSeen{Worker: w.id, Service: d.mix.service, Requests: s.requests, Late: s.late, Slots: 8})
+		d.core.Observe(d.now, d.state, lwplacement.SignalSeen{Worker: w.id, Service: d.mix.service, Requests: s.requests, Late: s.late, Slots: 8, Window: signalEvery, Age: d.now - s.at})
 	}
 }
 
--- a/internal/bench/lwscenario/truth.go
+++ b/internal/bench/lwscenario/truth.go
@@ -41,7 +41,7 @@
 			name: "kirishima", region: "kyushu-south", service: "engrave-desk",
 			capacity: lwunit.Resources{Millicores: 64000, Memory: 250 * lwunit.GiB, Accelerators: 2},
 			reserve:  lwunit.Resources{Millicores: 8000, Memory: 16 * lwunit.GiB},
-			weights:  `"tail_weight": 3, "throughput_weight": 1, "eviction_weight": 1`,
+			weights:  `"tail_weight": 3, "throughput_weight": 1, "eviction_weight": 1, "eviction_budget": 60`,
 			programs: []program{
 				{"toolpath", lwstate.ClassBatch, 12, 24 * lwunit.GiB, 0, 6 * time.Minute, 0.30},
 				{"render", lwstate.ClassBatch, 8, 20 * lwunit.GiB, 1, 4 * time.Minute, 0.08},
@@ -54,7 +54,7 @@
 			name: "papeles", region: "andes-norte", service: "taller-digital",
 			capacity: lwunit.Resources{Millicores: 16000, Memory: 60 * lwunit.GiB, Accelerators: 1},
 			reserve:  lwunit.Resources{Millicores: 2000, Memory: 4 * lwunit.GiB},
-			weights:  `"tail_weight": 1, "throughput_weight": 3, "eviction_weight": 3`,
+			weights:  `"tail_weight": 1, "throughput_weight": 3, "eviction_weight": 3, "eviction_budget": 20`,
 			programs: []program{
 				{"pattern-render", lwstate.ClassBatch, 3, 8 * lwunit.GiB, 0, 8 * time.Minute, 0.25},
 				{"scan-archive", lwstate.ClassBatch, 1, 4 * lwunit.GiB, 0, 15 * time.Minute, 0.02},
--- a/internal/command/lwcommand/bench_decisions.go
+++ b/internal/command/lwcommand/bench_decisions.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"runtime"
 	"strings"
+	"sync"
 
 	"lavenderweir.example/lavenderweir/internal/bench/lwscenario"
 )
@@ -34,25 +37,51 @@
 	if err := parse(p, args); err != nil {
 		return err
 	}
-	var results []lwscenario.Result
+	results, err := runCases(decisionCases(scenario, variant))
+	if err != nil {
+		return err
+	}
+	if output == outputJSON {
+		return json.NewEncoder(io.out).Encode(results)
+	}
+	return decisionTable(results).write(io)
+}
+
+type decisionCase struct {
+	deployment string
+	scenario   lwscenario.Scenario
+	variant    lwscenario.Variant
+}
+
+func decisionCases(scenario, variant string) []decisionCase {
+	var cases []decisionCase
 	for _, d := range []string{"kirishima", "papeles"} {
 		for _, sc := range lwscenario.Scenarios() {
 			for _, v := range lwscenario.Variants() {
-				if !strings.Contains(sc.Name, scenario) || !strings.Contains(v.Name, variant) {
-					continue
-				}
-				res, err := lwscenario.Run(sc, d, v, benchSeed)
-				if err != nil {
-					return err
+				if strings.Contains(sc.Name, scenario) && strings.Contains(v.Name, variant) {
+					cases = append(cases, decisionCase{d, sc, v})
 				}
-				results = append(results, res)
 			}
 		}
 	}
-	if output == outputJSON {
-		return json.NewEncoder(io.out).Encode(results)
+	return cases
+}
+
+// runCases runs the cases on all processors; each is deterministic by itself.
+func runCases(cases []decisionCase) ([]lwscenario.Result, error) {
+	results := make([]lwscenario.Result, len(cases))
+	errs := make([]error, len(cases))
+	free := make(chan struct{}, runtime.NumCPU())
+	var wg sync.WaitGroup
+	for i, c := range cases {
+		free <- struct{}{}
+		wg.Go(func() {
+			results[i], errs[i] = lwscenario.Run(c.scenario, c.deployment, c.variant, benchSeed)
+			<-free
+		})
 	}
-	return decisionTable(results).write(io)
+	wg.Wait()
+	return results, errors.Join(errs...)
 }
 
 func decisionTable(results []lwscenario.Result) table {
--- a/internal/control/lwcontrol/leader.go
+++ b/internal/control/lwcontrol/leader.go
@@ -223,7 +223,7 @@
 	for _, g := range m.Signals {
 		spec, _ := s.Service(w.Spec.Region, g.Service)
 		l.core.Observe(now, s, lwplacement.SignalSeen{
-			Worker: m.Worker, Service: g.Service, Requests: g.Requests, Late: g.Late, Busy: g.Busy, Queued: g.Queued, Slots: spec.Slots,
+			Worker: m.Worker, Service: g.Service, Requests: g.Requests, Late: g.Late, Busy: g.Busy, Queued: g.Queued, Slots: spec.Slots, Window: g.Window.Std(),
 		})
 	}
 	for _, t := range m.Reports {
--- a/internal/control/lwlink/message.go
+++ b/internal/control/lwlink/message.go
@@ -77,6 +77,7 @@
 	Late     int                `json:"late"`     // of these, over the promised tail
 	Busy     int                `json:"busy"`     // slots in use
 	Queued   int                `json:"queued"`
+	Window   lwunit.Duration    `json:"window"` // time it covers, up to now
 }
 
 // Sync is what an agent tells the leader at each interval. It also renews the
--- a/internal/control/lwplacement/core.go
+++ b/internal/control/lwplacement/core.go
@@ -58,11 +58,13 @@
 	AgingLimit   time.Duration // batch waits as if its deadline were this far off
 	HoldAfter    time.Duration // a task that fits nowhere gets a worker cleared for it
 	MaxHolds     int
-	SignalLag    time.Duration // a signal shows nothing of an action younger than this
 	LateEnter    float64       // share of late requests at which the ladder is climbed
 	LateLeave    float64       // and below which it is left
 	LeaveAfter   int           // calm signals in a row before a step down
 	ThrottleTo   int           // percent, first step; halved at the second
+	Tolerance    float64       // late share for which a new batch task does not wait
+	ToleranceUp  time.Duration // wait that doubles the tolerance
+	MoveEvery    time.Duration // between moves of noisy tasks to quieter workers
 	FailuresOut  int           // failures of different jobs in a row that take a worker out
 	ProbeFirst   time.Duration // until the first probe of such a worker; doubles
 	ProbeLongest time.Duration
@@ -73,8 +75,8 @@
 	return Config{
 		Rule: Weighed{}, Ladder: LadderFull, LearnSizes: true, LearnPairs: true, MaxStarts: 25, MaxStops: 20,
 		UrgentWait: 200 * time.Millisecond, AgingLimit: 4 * time.Hour, HoldAfter: 5 * time.Minute, MaxHolds: 3,
-		SignalLag: 20 * time.Second, LateEnter: 0.02, LateLeave: 0.008, LeaveAfter: 3, ThrottleTo: 50,
-		FailuresOut: 3, ProbeFirst: time.Minute, ProbeLongest: 30 * time.Minute,
+		LateEnter: 0.02, LateLeave: 0.008, LeaveAfter: 3, ThrottleTo: 50,
+		Tolerance: 0.004, ToleranceUp: 10 * time.Minute, MoveEvery: 10 * time.Second, FailuresOut: 3, ProbeFirst: time.Minute, ProbeLongest: 30 * time.Minute,
 	}
 }
 
@@ -116,6 +118,8 @@
 	Busy     int
 	Queued   int
 	Slots    int
+	Window   time.Duration // time it covers
+	Age      time.Duration // since the end of that time
 }
 
 // AttemptEnded is the end of an attempt.
@@ -135,19 +139,22 @@
 	cfg     Config
 	sizes   sizes
 	pairs   pairs
+	prices  prices
+	history history
 	ladder  map[lwunit.WorkerID]*rungs
 	health  health
 	holds   map[lwunit.JobID]hold
 	blocked map[lwunit.JobID]time.Duration // since when a job's next task fits nowhere
 	cleared map[lwunit.WorkerID]clearing   // room being made for an urgent job
 	budget  evictionBudget
+	movedAt time.Duration
 	picks   uint64
 }
 
 // New returns a core that has observed nothing.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg: cfg, sizes: newSizes(), pairs: newPairs(), ladder: make(map[lwunit.WorkerID]*rungs), health: newHealth(cfg),
+		cfg: cfg, sizes: newSizes(), pairs: newPairs(), prices: newPrices(), history: newHistory(), ladder: make(map[lwunit.WorkerID]*rungs), health: newHealth(cfg),
 		holds: make(map[lwunit.JobID]hold), blocked: make(map[lwunit.JobID]time.Duration),
 		cleared: make(map[lwunit.WorkerID]clearing),
 	}
@@ -159,7 +166,7 @@
 	case UsageSeen:
 		c.observeUsage(s, o)
 	case SignalSeen:
-		c.observeSignal(now, s, o)
+		c.observeSignal(now, o)
 	case AttemptEnded:
 		c.health.ended(now, s, o)
 		c.observeEnd(s, o)
@@ -171,7 +178,7 @@
 func (c *Core) Decide(now time.Duration, s *lwstate.State) []lwstate.Command {
 	r := newRound(now, s)
 	c.forget(now, s)
-	stages := []func(*round){c.judgeWorkers, c.resize, c.climb, c.drain, c.start, c.preempt}
+	stages := []func(*round){c.remember, c.reprice, c.judgeWorkers, c.resize, c.climb, c.drain, c.start, c.preempt, c.rebalance}
 	for _, stage := range stages {
 		stage(r)
 	}
--- a/internal/control/lwplacement/ladder.go
+++ b/internal/control/lwplacement/ladder.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	fullSpeed   = 100
-	queueSignal = 0.5  // queued requests a slot that count as disturbance at once
-	worthActing = 0.15 // share of the expected disturbance that a task must cause
+	relapse         = 3 * time.Minute
+	longestPatience = 60  // signals
+	movesFor        = 0.4 // a move must save this share of the expected disturbance
+	fullSpeed       = 100
+	queueSignal     = 0.5  // queued requests a slot that count as disturbance at once
+	worthActing     = 0.15 // share of the expected disturbance that a task must cause
 )
 
 // rungs is where a worker stands on the ladder.
@@ -19,7 +22,9 @@
 	step      int // 0: nothing; 1, 2: throttled; 3 and up: evicting
 	actedAt   time.Duration
 	calm      int
-	wanted    bool // a step up is due
+	patience  int           // calm signals that a step down takes
+	leftAt    time.Duration // of the last step down
+	wanted    bool          // a step up is due
 	service   lwunit.ServiceName
 	throttled map[lwunit.TaskID]int
 }
@@ -37,19 +42,21 @@
 // observeSignal learns from a signal and notes whether the worker's ladder
 // should be climbed or left. A signal that began before the last action took
 // hold shows the time before it, and is neither learned from nor acted on.
-func (c *Core) observeSignal(now time.Duration, s *lwstate.State, o SignalSeen) {
+func (c *Core) observeSignal(now time.Duration, o SignalSeen) {
 	l := c.ladder[o.Worker]
 	if l == nil {
-		l = &rungs{throttled: make(map[lwunit.TaskID]int), actedAt: -c.cfg.SignalLag}
+		l = &rungs{throttled: make(map[lwunit.TaskID]int), patience: c.cfg.LeaveAfter}
 		c.ladder[o.Worker] = l
 	}
-	if o.Requests < minRequests || now-l.actedAt < c.cfg.SignalLag {
+	from, to := now-o.Age-o.Window, now-o.Age
+	if o.Requests < minRequests || from < l.actedAt {
 		return
 	}
 	late := float64(o.Late) / float64(o.Requests)
-	parts := c.partsOn(s, o.Worker)
+	c.prices.noteLoad(o)
+	parts := c.history.between(o.Worker, from, to)
 	if c.cfg.LearnPairs {
-		c.pairs.learn(o.Service, late, o.Requests, parts)
+		c.pairs.learn(o.Service, late, c.prices.loadOf(o.Worker, o.Service), o.Requests, parts)
 	}
 	queued := o.Slots > 0 && float64(o.Queued) > queueSignal*float64(o.Slots)
 	switch {
@@ -77,7 +84,7 @@
 		case l.wanted:
 			l.wanted = false
 			c.stepUp(r, w, l)
-		case l.calm >= c.cfg.LeaveAfter && l.step > 0:
+		case l.calm >= l.patience && l.step > 0:
 			l.calm = 0
 			c.stepDown(r, l)
 		}
@@ -98,6 +105,11 @@
 	if len(culprits) == 0 {
 		return
 	}
+	if l.leftAt > 0 && r.now-l.leftAt < relapse {
+		l.patience = min(2*l.patience, longestPatience) // it was left too early
+	} else {
+		l.patience = c.cfg.LeaveAfter
+	}
 	l.actedAt = r.now
 	l.step++
 	if c.cfg.Ladder == LadderEvictOnly {
@@ -134,6 +146,9 @@
 	if typical, known := c.sizes.typicalRun(classOf(j)); known && c.cfg.Ladder == LadderFull && ran > typical*8/10 && ran < typical*3/2 {
 		return
 	}
+	if c.cfg.Ladder == LadderFull && !c.hasQuieter(r, j, t) {
+		return
+	}
 	if c.cfg.Ladder == LadderFull && !c.budget.take(r.now, r.state.Deployment().EvictionBudget) {
 		return
 	}
@@ -141,6 +156,22 @@
 	r.stop(t)
 }
 
+// hasQuieter reports whether a task could go where it disturbs much less.
+func (c *Core) hasQuieter(r *round, j lwstate.Job, t lwstate.Task) bool {
+	here, ok := r.state.Worker(t.Worker)
+	if !ok {
+		return false
+	}
+	now := c.disturbance(r, j, t.Reserve, here)
+	for i, w := range r.workers {
+		if w.Spec.ID != t.Worker && t.Reserve.Fits(r.free[w.Spec.ID]) && c.passes(r, j, w, i) &&
+			c.disturbance(r, j, t.Reserve, w) < (1-movesFor)*now {
+			return true
+		}
+	}
+	return false
+}
+
 // culprits returns the tasks expected to cause most of a service's late
 // requests, the worst first.
 func (c *Core) culprits(r *round, w lwstate.Worker, s lwunit.ServiceName) []lwstate.Task {
@@ -156,7 +187,7 @@
 			continue
 		}
 		x := ratio(int64(t.Reserve.Millicores), int64(w.Spec.Capacity.Millicores))
-		cause := c.pairs.expected(s, classOf(j)) * x
+		cause := c.pairs.expected(s, programName(j.Spec.Program)) * x
 		total += cause
 		list = append(list, suspect{t, cause})
 	}
@@ -172,7 +203,7 @@
 
 // stepDown undoes one step.
 func (c *Core) stepDown(r *round, l *rungs) {
-	l.actedAt = r.now
+	l.actedAt, l.leftAt = r.now, r.now
 	l.step--
 	for id := range l.throttled {
 		if l.step == 0 {
--- a/internal/control/lwplacement/start.go
+++ b/internal/control/lwplacement/start.go
@@ -128,8 +128,9 @@
 
 func (c *Core) candidates(r *round, j lwstate.Job, reserve lwunit.Resources) *candidates {
 	cs := &candidates{core: c, job: j}
+	limit := c.bestPlace(r, j, reserve) + c.tolerance(r, j)
 	for i, w := range r.workers {
-		if !c.passes(r, j, w, i) || !reserve.Fits(r.free[w.Spec.ID]) {
+		if !c.passes(r, j, w, i) || !reserve.Fits(r.free[w.Spec.ID]) || c.disturbance(r, j, reserve, w) > limit {
 			continue
 		}
 		cs.heap = append(cs.heap, candidate{w, c.cost(r, j, reserve, w)})
@@ -138,6 +139,35 @@
 	return cs
 }
 
+// bestPlace is the disturbance that a task would cause on the worker that
+// suits it best, whether or not there is room now.
+func (c *Core) bestPlace(r *round, j lwstate.Job, reserve lwunit.Resources) float64 {
+	best := math.Inf(1)
+	for i, w := range r.workers {
+		if c.passes(r, j, w, i) && reserve.Fits(w.Spec.Capacity.Sub(r.state.ServiceReserve(w.Spec.ID))) {
+			best = min(best, c.disturbance(r, j, reserve, w))
+		}
+	}
+	return best
+}
+
+// tolerance is by how much a task of j may disturb more than it would on the
+// worker that suits it best. Batch work waits for such a place at first; the
+// longer it has waited, and once it must start to meet its deadline, the more
+// it may disturb.
+func (c *Core) tolerance(r *round, j lwstate.Job) float64 {
+	if j.Spec.Class != lwstate.ClassBatch || !c.cfg.LearnPairs || c.cfg.Ladder != LadderFull {
+		return math.Inf(1)
+	}
+	if j.Spec.FinishIn > 0 && r.state.Clock() >= c.latestStart(j) {
+		return math.Inf(1)
+	}
+	waited := time.Duration(r.state.Clock()-j.Submitted) * time.Millisecond
+	d := r.state.Deployment()
+	weight := max(0.1, d.ThroughputWeight) / max(0.1, d.TailWeight)
+	return c.cfg.Tolerance * weight * math.Exp2(float64(waited)/float64(c.cfg.ToleranceUp))
+}
+
 // take returns the cheapest worker that still has room. Its cost is computed
 // again, since it has less room now.
 func (cs *candidates) take(r *round, reserve lwunit.Resources) (lwunit.WorkerID, bool) {
@@ -213,39 +243,20 @@
 	weightPack     = 0.3
 	weightFragment = 2.0
 	weightSpread   = 1.0
-	weightLocality = 0.2
-	weightService  = 0.5
 )
 
 // weigh sums the scores. Each is small and says one thing.
 func (c *Core) weigh(r *round, j lwstate.Job, reserve lwunit.Resources, w lwstate.Worker) float64 {
 	d := r.state.Deployment()
 	cost := weightDisturb * d.TailWeight * c.disturbance(r, j, reserve, w)
-	cost += weightPack * d.ThroughputWeight * leftover(r, reserve, w)
+	cost += weightPack * d.ThroughputWeight * leftover(r, reserve, w) * ratio(int64(reserve.Millicores), int64(w.Spec.Capacity.Millicores))
 	cost += weightFragment * d.ThroughputWeight * fragments(r, reserve, w)
-	cost += weightService * d.TailWeight * serviceLoad(r, j, w)
 	if j.Spec.Class == lwstate.ClassLatencyCritical {
 		cost += weightSpread * float64(r.spread(j.Spec.ID)[w.Spec.Domain])
 	}
 	return cost
 }
 
-// disturbance is the share of requests expected to become late.
-func (c *Core) disturbance(r *round, j lwstate.Job, reserve lwunit.Resources, w lwstate.Worker) float64 {
-	if !c.cfg.LearnPairs {
-		return 0
-	}
-	sum := 0.0
-	x := ratio(int64(reserve.Millicores), int64(w.Spec.Capacity.Millicores))
-	for _, b := range r.state.BackendsOn(w.Spec.ID) {
-		sum += c.pairs.expected(b.Service, classOf(j)) * x
-	}
-	if l := c.ladder[w.Spec.ID]; l != nil && l.step > 0 {
-		sum += c.cfg.LateEnter // no new disturbance where there is some already
-	}
-	return sum
-}
-
 // fragments is the number of free accelerators that a task which needs none
 // would make harder to use.
 func fragments(r *round, reserve lwunit.Resources, w lwstate.Worker) float64 {
@@ -258,16 +269,6 @@
 	return ratio(int64(reserve.Millicores), int64(w.Spec.Capacity.Millicores))
 }
 
-// serviceLoad prefers workers with fewer batch processors beside a service,
-// as long as nothing is known of the pair.
-func serviceLoad(r *round, j lwstate.Job, w lwstate.Worker) float64 {
-	if j.Spec.Class == lwstate.ClassLatencyCritical || len(r.state.BackendsOn(w.Spec.ID)) == 0 {
-		return 0
-	}
-	used := int64(w.Spec.Capacity.Millicores - r.free[w.Spec.ID].Millicores)
-	return math.Pow(ratio(used, int64(w.Spec.Capacity.Millicores)), 2)
-}
-
 // hold keeps a worker free of new batch tasks for a job that fits nowhere.
 type hold struct {
 	worker lwunit.WorkerID
--- a/internal/control/lwstate/job.go
+++ b/internal/control/lwstate/job.go
@@ -383,6 +383,9 @@
 // Waits reports whether a job has queued tasks.
 func (s *State) Waits(id lwunit.JobID) bool { return len(s.waiting[id]) > 0 }
 
+// WaitingCount returns the number of queued tasks of a job.
+func (s *State) WaitingCount(id lwunit.JobID) int { return len(s.waiting[id]) }
+
 // HeldTasks returns the tasks of a job that hold resources.
 func (s *State) HeldTasks(id lwunit.JobID) []Task {
 	var list []Task
--- a/internal/worker/lwagent/backend.go
+++ b/internal/worker/lwagent/backend.go
@@ -44,6 +44,7 @@
 	known    bool // control has this announcement
 	finished int  // since the last signal
 	late     int
+	signalAt time.Time
 }
 
 // backends is the table of announced backend servers.
@@ -277,7 +278,10 @@
 		load := s.gate.Load()
 		s.mu.Lock()
 		sig := lwlink.ServiceSignal{Service: s.service, Requests: s.finished, Late: s.late, Busy: load.Busy, Queued: load.Queued}
-		s.finished, s.late = 0, 0
+		if !s.signalAt.IsZero() {
+			sig.Window = lwunit.Duration(time.Since(s.signalAt))
+		}
+		s.finished, s.late, s.signalAt = 0, 0, time.Now()
 		s.mu.Unlock()
 		if sig.Requests+sig.Busy+sig.Queued > 0 {
 			list = append(list, sig)
