--- /dev/null
+++ b/internal/bench/lwload/cases.go
@@ -0,0 +1,232 @@
+package lwload
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/bench/lwrig"
+	"lavenderweir.example/lavenderweir/internal/control/lwticket"
+	"lavenderweir.example/lavenderweir/internal/entry/lwroute"
+	"lavenderweir.example/lavenderweir/internal/worker/lwstandin"
+)
+
+const (
+	workers      = 11
+	slots        = 8
+	entries      = 2
+	service      = "engrave-desk"
+	serviceTime  = 30 * time.Millisecond // median
+	serviceSigma = 0.5
+	oneWay       = 3 * time.Millisecond
+	warmUp       = 2 * time.Second
+	callerToken  = "bench-caller-token"
+	slowFactor   = 10
+	seed         = 5
+	drainEvery   = 500 * time.Millisecond
+	awaitTimeout = 20 * time.Second
+	domainCount  = 3
+)
+
+// meanService is the mean of the log-normal service time.
+func meanService() time.Duration {
+	return time.Duration(float64(serviceTime) * math.Exp(serviceSigma*serviceSigma/2))
+}
+
+// Capacity is the highest rate that all slots can serve, requests a second.
+func Capacity() float64 { return workers * slots / meanService().Seconds() }
+
+// Case is one measurement of the request path.
+type Case struct {
+	Name   string
+	Load   float64 // share of capacity
+	Policy lwroute.Policy
+	Ticket string // fields of the service's ticket
+	Event  func(ctx context.Context, s *lwrig.System)
+	Retry  int
+	Limit  time.Duration // deadline of each request
+}
+
+// Report is what a case showed.
+type Report struct {
+	Name      string        `json:"name"`
+	Policy    string        `json:"policy"`
+	Sent      int           `json:"sent"`
+	Completed int           `json:"completed"`
+	NotRun    int           `json:"not_run"`
+	Unknown   int           `json:"unknown"`
+	Broken    int           `json:"broken"`
+	Goodput   float64       `json:"goodput"` // share of capacity
+	P50       time.Duration `json:"p50_ns"`
+	P99       time.Duration `json:"p99_ns"`
+	P999      time.Duration `json:"p999_ns"`
+	IdealP99  time.Duration `json:"ideal_p99_ns"` // one queue shared by all slots
+	Peak      int           `json:"peak"`         // most requests at once in one backend server
+}
+
+// Cases lists the measurements.
+func Cases() []Case {
+	list := []Case{
+		{Name: "steady 50%", Load: 0.5},
+		{Name: "steady 80%", Load: 0.8},
+		{Name: "steady 95%", Load: 0.95},
+	}
+	for _, p := range []lwroute.Policy{lwroute.PolicyRandom, lwroute.PolicyRoundRobin, lwroute.PolicyLeast} {
+		list = append(list, Case{Name: "steady 80%", Load: 0.8, Policy: p})
+	}
+	return append(list,
+		Case{Name: "overload 2x", Load: 2, Limit: time.Second},
+		Case{Name: "overload 2x, no limits", Load: 2, Limit: time.Second, Ticket: `"slots": 1000, "queue": 5000`},
+		Case{Name: "one slow backend server", Load: 0.6, Event: slowOne},
+		Case{Name: "one slow backend server", Load: 0.6, Event: slowOne, Policy: lwroute.PolicyRoundRobin},
+		Case{Name: "one domain lost", Load: 0.5, Event: loseDomain},
+		Case{Name: "rolling drain of all", Load: 0.5, Event: drainAll},
+		Case{Name: "retry storm", Load: 1.3, Retry: 5, Limit: time.Second},
+		Case{Name: "retry storm, no budget", Load: 1.3, Retry: 5, Limit: time.Second, Ticket: `"retry_budget": 1`},
+	)
+}
+
+func slowOne(_ context.Context, s *lwrig.System) {
+	slow := LogNormal(slowFactor*serviceTime, serviceSigma, 99)
+	s.Backends[0].SetBehaviour(lwstandin.Behaviour{Delay: slow})
+}
+
+// loseDomain kills the agents and backend servers of one failure domain.
+func loseDomain(_ context.Context, s *lwrig.System) {
+	for i := range s.Backends {
+		if i%domainCount == 1 {
+			s.KillWorker(i)
+		}
+	}
+}
+
+// drainAll withdraws each backend server in turn and starts it again.
+func drainAll(ctx context.Context, s *lwrig.System) {
+	for i := range s.Backends {
+		if err := s.ReplaceBackend(ctx, i); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(drainEvery):
+		}
+	}
+}
+
+// RunCase measures one case.
+func RunCase(c Case, duration time.Duration, log *zap.Logger) (Report, error) {
+	folder, err := os.MkdirTemp("", "lavenderweir-bench-")
+	if err != nil {
+		return Report{}, fmt.Errorf("make a folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	s, err := startSystem(c, folder, log)
+	if err != nil {
+		return Report{}, err
+	}
+	defer s.Stop()
+	plan := Plan{Path: "/v1/services/" + service + "/render", Token: callerToken, Rate: c.Load * Capacity(), Duration: warmUp, Deadline: c.Limit, Seed: seed, Retry: c.Retry}
+	for i := range s.Entries {
+		plan.URLs = append(plan.URLs, s.URL(i))
+	}
+	Run(context.Background(), plan)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if c.Event != nil {
+			time.Sleep(duration / 10)
+			c.Event(ctx, s)
+		}
+	}()
+	plan.Duration = duration
+	o := Run(ctx, plan)
+	cancel()
+	<-done
+	return report(c, o, s, duration), nil
+}
+
+func report(c Case, o Outcome, s *lwrig.System, duration time.Duration) Report {
+	policy := string(c.Policy)
+	if policy == "" {
+		policy = string(lwroute.PolicyDefault)
+	}
+	r := Report{
+		Name: c.Name, Policy: policy, Sent: o.Sent, Completed: o.Completed, NotRun: o.NotRun, Unknown: o.Unknown, Broken: o.Broken,
+		Goodput: o.Goodput() / Capacity(), P50: o.Quantile(50), P99: o.Quantile(99), P999: o.Quantile(99.9),
+	}
+	if c.Load < 1 {
+		h := IdealQueue(c.Load*Capacity(), workers*slots, serviceTime, serviceSigma, 10*duration, seed)
+		r.IdealP99 = time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
+	}
+	for _, b := range s.Backends {
+		r.Peak = max(r.Peak, b.Peak())
+	}
+	return r
+}
+
+func startSystem(c Case, folder string, log *zap.Logger) (*lwrig.System, error) {
+	shape := lwrig.Shape{
+		Region: "kyushu-south", Domains: []lwunit.FailureDomain{"yatsushiro", "hitoyoshi", "minamata"}, Service: service,
+		Workers: workers, Replicas: 1, Entries: entries, Folder: folder, OneWay: oneWay,
+		Capacity: lwunit.Resources{Millicores: 64000, Memory: 250 * lwunit.GiB, Accelerators: 2},
+	}
+	shape.Options.Routing = c.Policy
+	s, err := lwrig.Start(shape, log)
+	if err != nil {
+		return nil, err
+	}
+	fields := c.Ticket
+	if fields == "" {
+		fields = `"slots": 8`
+	}
+	ticket := fmt.Appendf(nil, `{"number": 1, "author": "bench", "objects": [
+		{"kind": "team", "name": "t", "spec": {"tokens": [{"role": "caller", "sha256": %q}]}},
+		{"kind": "service", "name": %q, "spec": {"team": "t", "tail_target": "250ms", %s}}]}`, lwticket.TokenDigest(callerToken), service, fields)
+	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
+	defer cancel()
+	if err := s.Operator().Post(ctx, "/v1/tickets", ticket, nil); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	for i, b := range s.Backends {
+		b.SetBehaviour(lwstandin.Behaviour{Delay: LogNormal(serviceTime, serviceSigma, uint64(i))})
+	}
+	if err := s.AwaitBackends(ctx); err != nil {
+		s.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// PathCost measures what entry and agent add: the same idle requests through
+// the path and straight to a backend server, in turns.
+func PathCost(duration time.Duration, log *zap.Logger) (through, direct Outcome, err error) {
+	folder, err := os.MkdirTemp("", "lavenderweir-bench-")
+	if err != nil {
+		return through, direct, fmt.Errorf("make a folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	s, err := startSystem(Case{Name: "path cost"}, folder, log)
+	if err != nil {
+		return through, direct, err
+	}
+	defer s.Stop()
+	for _, b := range s.Backends {
+		b.SetBehaviour(lwstandin.Behaviour{})
+	}
+	plan := Plan{Path: "/v1/services/" + service + "/render", Token: callerToken, Rate: 500, Duration: duration, Seed: seed, URLs: []string{s.URL(0)}}
+	straight := plan
+	straight.URLs, straight.Path = []string{"http://" + s.Backends[0].Address()}, "/render"
+	Run(context.Background(), plan)
+	through = Run(context.Background(), plan)
+	direct = Run(context.Background(), straight)
+	return through, direct, nil
+}
--- a/internal/command/lwdemo/system.go
+++ b/internal/bench/lwrig/rig.go
@@ -1,6 +1,7 @@
-// Package lwdemo runs a whole small system on loopback in one process, through
-// the real HTTP and RPC paths, and walks through what the product is for.
-package lwdemo
+// Package lwrig runs a whole small system on loopback in one process, through
+// the real HTTP and RPC paths. The demo, the measurements and the tests of the
+// request path stand on it.
+package lwrig
 
 import (
 	"context"
@@ -17,17 +18,19 @@
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/command/lwadmin"
 	"lavenderweir.example/lavenderweir/internal/command/lwnode"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
 	"lavenderweir.example/lavenderweir/internal/worker/lwstandin"
 )
 
 const (
-	operatorToken = "demo-operator-token"
+	operatorToken = "rig-operator-token"
 	readyPoll     = 20 * time.Millisecond
 	readyTimeout  = 15 * time.Second
 	stopTimeout   = 20 * time.Second
 	noticeTime    = 50 * time.Millisecond
+	settleTime    = 300 * time.Millisecond
 )
 
 // Shape describes a system to start.
@@ -40,7 +43,8 @@
 	Entries  int
 	Capacity lwunit.Resources
 	Options  lwnode.Options
-	Folder   string // data folders are made below it
+	Folder   string        // data folders are made below it
+	OneWay   time.Duration // delay between failure domains, one way
 }
 
 // System is a running system with stand-in workers and backend servers.
@@ -68,9 +72,9 @@
 	return l.Addr().String(), nil
 }
 
-// StartSystem starts the shape's processes in this one and waits until each is
+// Start starts the shape's processes in this one and waits until each is
 // ready.
-func StartSystem(shape Shape, log *zap.Logger) (*System, error) {
+func Start(shape Shape, log *zap.Logger) (*System, error) {
 	raw := make([]byte, 16)
 	if _, err := rand.Read(raw); err != nil {
 		return nil, fmt.Errorf("draw cluster key: %w", err)
@@ -102,7 +106,11 @@
 		}
 	}
 	for i := range s.Shape.Entries {
-		n, err := lwnode.Start(s.EntrySettings(i), s.Shape.Options, s.log)
+		opts := s.Shape.Options
+		if opts.Dial == nil {
+			opts.Dial = s.dialer(i)
+		}
+		n, err := lwnode.Start(s.EntrySettings(i), opts, s.log)
 		if err != nil {
 			return err
 		}
@@ -213,12 +221,108 @@
 	return append(all, s.Entries...)
 }
 
+// dialer returns the dial function of entry i, which delays what goes to other
+// failure domains.
+func (s *System) dialer(i int) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if s.Shape.OneWay == 0 {
+		return nil
+	}
+	domain := i % len(s.Shape.Domains)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		for k, a := range s.Agents {
+			if a.GateAddress() == address && k%len(s.Shape.Domains) != domain {
+				return &slowConn{c, 2 * s.Shape.OneWay}, nil
+			}
+		}
+		return c, nil
+	}
+}
+
+// slowConn adds a round trip's delay to each write.
+type slowConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+// Write sends data after the delay.
+func (c *slowConn) Write(data []byte) (int, error) {
+	time.Sleep(c.delay)
+	return c.Conn.Write(data)
+}
+
 // URL returns the address of entry i.
 func (s *System) URL(i int) string { return "http://" + s.Entries[i].EntryAddress() }
 
 // Operator returns a client with the operator's token.
 func (s *System) Operator() *lwadmin.Client { return lwadmin.New(s.URL(0), operatorToken) }
 
+// AwaitBackends waits until every backend server is announced and every entry
+// knows of it.
+func (s *System) AwaitBackends(ctx context.Context) error {
+	for {
+		var list []lwstate.BackendServer
+		if err := s.Operator().Get(ctx, "/v1/backend_servers", &list); err != nil {
+			return err
+		}
+		if len(list) == len(s.Backends) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d backend servers announced: %w", len(list), len(s.Backends), ctx.Err())
+		case <-time.After(readyPoll):
+		}
+	}
+	time.Sleep(settleTime) // one watch answer
+	return nil
+}
+
+// LeaderIndex returns which control replica leads, or -1.
+func (s *System) LeaderIndex() int {
+	for i, n := range s.Control {
+		if n.Leads() {
+			return i
+		}
+	}
+	return -1
+}
+
+// KillWorker ends the agent and the backend server of worker i without notice.
+func (s *System) KillWorker(i int) {
+	s.Backends[i].Kill()
+	s.Agents[i].Kill()
+}
+
+// ReplaceBackend withdraws backend server i gracefully and starts another in
+// its place.
+func (s *System) ReplaceBackend(ctx context.Context, i int) error {
+	old := s.Backends[i]
+	if err := old.Withdraw(ctx); err != nil {
+		return err
+	}
+	old.Kill()
+	return s.StartBackend(i)
+}
+
+// StartBackend starts a new backend server at worker i in place of one that is
+// gone.
+func (s *System) StartBackend(i int) error {
+	old := s.Backends[i]
+	id := lwunit.BackendServerID(fmt.Sprintf("%s-%d-%d", s.Shape.Service, i, time.Now().UnixNano()))
+	b, err := lwstandin.StartBackend(id, s.Shape.Service, s.Agents[i].GateAddress())
+	if err != nil {
+		return err
+	}
+	b.SetBehaviour(old.Behaviour())
+	s.Backends[i] = b
+	return nil
+}
+
 // Stop stops everything gracefully, callers' side first.
 func (s *System) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/command/lwcommand/table.go
+++ b/internal/command/lwcommand/table.go
@@ -29,6 +29,7 @@
 		serviceListVerb,
 		statusVerb,
 		benchDecisionsVerb,
+		benchRequestsVerb,
 		demoVerb,
 		versionVerb,
 	}
--- a/internal/command/lwdemo/demo.go
+++ b/internal/command/lwdemo/demo.go
@@ -1,3 +1,5 @@
+// Package lwdemo walks through what the product is for, on a small system of
+// each deployment.
 package lwdemo
 
 import (
@@ -15,6 +17,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/bench/lwrig"
 	"lavenderweir.example/lavenderweir/internal/command/lwadmin"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
@@ -34,17 +37,17 @@
 	name  string
 	team  lwunit.TeamName
 	order string // program of a batch job
-	shape Shape
+	shape lwrig.Shape
 }
 
 func deployments(folder string) []deployment {
 	return []deployment{
-		{"kirishima", "engraving", "toolpath:1s", Shape{
+		{"kirishima", "engraving", "toolpath:1s", lwrig.Shape{
 			Region: "kyushu-south", Domains: []lwunit.FailureDomain{"yatsushiro", "hitoyoshi", "minamata"}, Service: "engrave-desk",
 			Workers: 3, Replicas: 1, Entries: 1, Folder: folder + "/kirishima",
 			Capacity: lwunit.Resources{Millicores: 64000, Memory: 250 * lwunit.GiB, Accelerators: 2},
 		}},
-		{"papeles", "cooperativas", "pattern-render:1s", Shape{
+		{"papeles", "cooperativas", "pattern-render:1s", lwrig.Shape{
 			Region: "andes-norte", Domains: []lwunit.FailureDomain{"norte-a", "norte-b", "norte-c"}, Service: "taller-digital",
 			Workers: 3, Replicas: 1, Entries: 1, Folder: folder + "/papeles",
 			Capacity: lwunit.Resources{Millicores: 16000, Memory: 60 * lwunit.GiB, Accelerators: 1},
@@ -74,7 +77,7 @@
 // walk is one walk through a deployment.
 type walk struct {
 	d   deployment
-	sys *System
+	sys *lwrig.System
 	op  *lwadmin.Client
 }
 
@@ -118,7 +121,7 @@
 func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
 
 func (k *walk) start(log *zap.Logger) (string, error) {
-	sys, err := StartSystem(k.d.shape, log)
+	sys, err := lwrig.Start(k.d.shape, log)
 	if err != nil {
 		return "", err
 	}
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -9,7 +9,9 @@
 	"encoding/hex"
 	"fmt"
 	mathrand "math/rand/v2"
+	"net"
 	"runtime/debug"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -36,6 +38,7 @@
 type Options struct {
 	Routing lwroute.Policy
 	Lease   lwlease.Config
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // of entries, to agents
 }
 
 // Node is one running process.
@@ -46,6 +49,7 @@
 	control  *lwcontrol.Node
 	agent    *lwagent.Agent
 	entry    *lwentry.Entry
+	stopped  sync.Once
 }
 
 // Start starts the roles that the settings name.
@@ -91,7 +95,7 @@
 	}
 	n.entry, err = lwentry.Start(lwentry.Config{
 		Name: s.Name, Region: s.Region, Domain: s.FailureDomain, Address: s.Entry.Address, ClusterKey: s.ClusterKey(),
-		OperatorSHA256: s.Entry.OperatorSHA256, DrainNotice: s.Entry.DrainNotice.Std(), Routing: opts.Routing, Seed: mathrand.Uint64(),
+		OperatorSHA256: s.Entry.OperatorSHA256, DrainNotice: s.Entry.DrainNotice.Std(), Routing: opts.Routing, Dial: opts.Dial, Seed: mathrand.Uint64(),
 	}, client, n.log)
 	return err
 }
@@ -147,6 +151,16 @@
 	return n.agent.Address()
 }
 
+// CloseIdle closes the entry's unused connections to agents.
+func (n *Node) CloseIdle() {
+	if n.entry != nil {
+		n.entry.CloseIdle()
+	}
+}
+
+// Leads reports whether the control replica of this process leads.
+func (n *Node) Leads() bool { return n.control != nil && n.control.Leads() }
+
 // Failed yields the error that ended the control role, if one did.
 func (n *Node) Failed() <-chan error {
 	if n.control == nil {
@@ -155,8 +169,21 @@
 	return n.control.Done()
 }
 
+// Kill ends the process's roles without any of the steps of a graceful stop, as
+// a VM that fails would.
+func (n *Node) Kill() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	n.endpoint.Close() // nothing is told to control any more
+	n.stopped.Do(func() { n.stop(ctx) })
+}
+
 // Stop stops every role gracefully; what is left when ctx ends is cut off.
 func (n *Node) Stop(ctx context.Context) {
+	n.stopped.Do(func() { n.stop(ctx) })
+}
+
+func (n *Node) stop(ctx context.Context) {
 	if n.entry != nil {
 		n.entry.Stop(ctx)
 	}
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -155,6 +155,12 @@
 	return nil
 }
 
+// Leads reports whether this replica leads.
+func (n *Node) Leads() bool {
+	r := n.current()
+	return r != nil && r.current().role == lwreplica.Leader
+}
+
 func (n *Node) current() *replica {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
--- a/internal/entry/lwentry/entry.go
+++ b/internal/entry/lwentry/entry.go
@@ -56,7 +56,8 @@
 	ClusterKey     string
 	OperatorSHA256 string // digest of a token that is an operator before any ticket
 	Routing        lwroute.Policy
-	DrainNotice    time.Duration // between readiness off and the listener closing
+	DrainNotice    time.Duration                                                        // between readiness off and the listener closing
+	Dial           func(ctx context.Context, network, address string) (net.Conn, error) // to agents; nil for the network's own
 	Seed           uint64
 }
 
@@ -147,11 +148,13 @@
 		cfg.DrainNotice = drainNotice
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	e := &Entry{
 		cfg: cfg, log: log, client: client, cancel: cancel,
 		agents: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleToAgent, IdleConnTimeout: time.Minute,
+			DialContext: cfg.Dial, MaxIdleConnsPerHost: idleToAgent, IdleConnTimeout: time.Minute,
 			DisableCompression: true, ReadBufferSize: 16 << 10, WriteBufferSize: 16 << 10,
 		}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
 	}
@@ -168,6 +171,9 @@
 	return e, nil
 }
 
+// CloseIdle closes unused connections to agents.
+func (e *Entry) CloseIdle() { e.agents.CloseIdleConnections() }
+
 // Address returns the address that callers use.
 func (e *Entry) Address() string { return e.server.Address() }
 
--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -67,6 +67,8 @@
 	key    string
 	engine *nbio.Engine
 
+	closed sync.Once
+
 	mu      sync.RWMutex
 	methods map[string]Handler
 	peers   map[string]*Peer
@@ -128,7 +130,7 @@
 		p.drop()
 	}
 	e.mu.RUnlock()
-	e.engine.Stop()
+	e.closed.Do(e.engine.Stop)
 }
 
 // attach makes a session on a new connection; dialled ones are trusted.
--- a/internal/worker/lwstandin/backend.go
+++ b/internal/worker/lwstandin/backend.go
@@ -41,6 +41,7 @@
 	agent  string
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	closed sync.Once
 
 	mu        sync.Mutex
 	behaviour Behaviour
@@ -83,6 +84,13 @@
 	b.behaviour = h
 }
 
+// Behaviour returns how requests are treated.
+func (b *Backend) Behaviour() Behaviour {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.behaviour
+}
+
 // Runs returns how often a request with the key was run.
 func (b *Backend) Runs(key string) int {
 	b.mu.Lock()
@@ -197,5 +205,5 @@
 func (b *Backend) Kill() {
 	b.cancel()
 	b.done.Wait()
-	b.server.Close()
+	b.closed.Do(b.server.Close)
 }
