--- a/internal/control/lwplacement/size.go
+++ b/internal/control/lwplacement/size.go
@@ -11,7 +11,7 @@
 	priorWeight     = 3.0  // observations that weigh as much as the declaration
 	sizeWeight      = 0.1  // of the newest observation in the moving mean
 	memoryHeadroom  = 1.15 // over the largest seen
-	cpuHeadroom     = 1.05 // over the mean; processors are shared, so little is enough
+	cpuHeadroom     = 1.0  // over the mean: processors are shared, so none is needed
 	memoryDecay     = 0.995
 	lowestShare     = 0.2 // a reserve is at least this share of the declaration
 	highestShare    = 6.0 // and at most this many times the declaration
