--- a/internal/base/lwsetting/setting.go
+++ b/internal/base/lwsetting/setting.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"time"
 
@@ -151,6 +152,11 @@
 	if _, field, ok := strings.Cut(err.Error(), "unknown field \""); ok {
 		return lineOf(data, strings.TrimSuffix(field, "\""))
 	}
+	if e, ok := errors.AsType[*lwunit.FormatError](err); ok {
+		if at := regexp.MustCompile(`:\s*` + regexp.QuoteMeta(e.Raw)).FindIndex(data); at != nil {
+			return 1 + bytes.Count(data[:at[1]], []byte("\n"))
+		}
+	}
 	offset := dec.InputOffset()
 	if e, ok := errors.AsType[*json.UnmarshalTypeError](err); ok {
 		offset = e.Offset
--- /dev/null
+++ b/internal/bench/lwcapacity/capacity.go
@@ -0,0 +1,166 @@
+// Package lwcapacity measures what control costs as nodes are added: real agent
+// roles over loopback against a real control replica, and the cores by
+// themselves at sizes up to the planned one.
+package lwcapacity
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/bench/lwrig"
+)
+
+const settle = 6 * time.Second
+
+// Sample is what a number of agents cost while nothing but control ran.
+type Sample struct {
+	Agents      int     `json:"agents"`
+	Busy        bool    `json:"busy"`          // each agent ran tasks
+	BytesOut    float64 `json:"bytes_out"`     // RPC bytes sent by all processes, a second
+	Frames      float64 `json:"frames"`        // RPC frames, a second
+	CPU         float64 `json:"cpu"`           // cores used by everything in this process
+	Resident    int64   `json:"resident"`      // bytes of this process
+	Heap        int64   `json:"heap"`          // live heap bytes
+	CommitP99   int64   `json:"commit_p99_us"` // of commands
+	ReadySecond float64 `json:"ready_seconds"` // from the first start until all were registered
+}
+
+// Line is a least-squares fit of a quantity to the number of agents.
+type Line struct {
+	Slope     float64 `json:"slope"`
+	Intercept float64 `json:"intercept"`
+	Residual  float64 `json:"residual"` // root mean square
+}
+
+// Fit returns the line through the points.
+func Fit(xs, ys []float64) Line {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy float64
+	for i := range xs {
+		sx += xs[i]
+		sy += ys[i]
+		sxx += xs[i] * xs[i]
+		sxy += xs[i] * ys[i]
+	}
+	l := Line{}
+	if d := n*sxx - sx*sx; d != 0 {
+		l.Slope = (n*sxy - sx*sy) / d
+	}
+	l.Intercept = (sy - l.Slope*sx) / n
+	for i := range xs {
+		e := ys[i] - l.Intercept - l.Slope*xs[i]
+		l.Residual += e * e
+	}
+	l.Residual = math.Sqrt(l.Residual / n)
+	return l
+}
+
+// Measure starts the agents, lets them settle and measures for a while.
+func Measure(agents int, busy bool, window time.Duration, log *zap.Logger) (Sample, error) {
+	folder, err := os.MkdirTemp("", "lavenderweir-capacity-")
+	if err != nil {
+		return Sample{}, fmt.Errorf("make a folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	began := time.Now()
+	s, err := lwrig.Start(lwrig.Shape{
+		Region: "r", Domains: []lwunit.FailureDomain{"a", "b", "c"}, Service: "svc", Workers: agents, Replicas: 1, Entries: 1, Folder: folder,
+		Capacity: lwunit.Resources{Millicores: 64000, Memory: 250 * lwunit.GiB},
+	}, log)
+	if err != nil {
+		return Sample{}, err
+	}
+	defer s.Stop()
+	out := Sample{Agents: agents, Busy: busy}
+	if err := s.AwaitWorkers(agents); err != nil {
+		return out, err
+	}
+	out.ReadySecond = time.Since(began).Seconds()
+	if busy {
+		if err := submitLong(s, agents); err != nil {
+			return out, err
+		}
+	}
+	time.Sleep(settle)
+	runtime.GC()
+	before := read()
+	time.Sleep(window)
+	after := read()
+	out.BytesOut = (after.bytes - before.bytes) / window.Seconds()
+	out.Frames = (after.frames - before.frames) / window.Seconds()
+	out.CPU = (after.cpu - before.cpu).Seconds() / window.Seconds()
+	out.Resident = resident()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	out.Heap = int64(m.HeapAlloc)
+	return out, nil
+}
+
+const (
+	tasksPerWorker = 16 // 13,000 batch tasks on 810 workers
+	longProgram    = "render:1h"
+)
+
+// submitLong gives every worker its share of running batch tasks.
+func submitLong(s *lwrig.System, agents int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	op := s.Operator()
+	ticket := []byte(`{"number": 1, "author": "bench", "objects": [{"kind": "team", "name": "t", "spec": {"quota": {"millicores": 100000000, "memory": "100TiB"}}}]}`)
+	if err := op.Post(ctx, "/v1/tickets", ticket, nil); err != nil {
+		return err
+	}
+	job := fmt.Appendf(nil, `{"id": "load", "team": "t", "program": %q, "tasks": %d, "needs": {"millicores": 3000, "memory": "8GiB"}}`, longProgram, agents*tasksPerWorker)
+	if err := op.Post(ctx, "/v1/jobs", job, nil); err != nil {
+		return err
+	}
+	return s.AwaitRunning(ctx, "load", agents*tasksPerWorker)
+}
+
+type reading struct {
+	bytes, frames float64
+	cpu           time.Duration
+}
+
+func read() reading {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	cpu := time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return reading{counter("rpc_bytes_out_total"), counter("rpc_frames_out_total"), cpu}
+}
+
+func counter(name string) float64 {
+	v, ok := expvar.Get(name).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return float64(v.Value())
+}
+
+// resident returns this process's resident memory in bytes.
+func resident() int64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
--- a/internal/command/lwcommand/table.go
+++ b/internal/command/lwcommand/table.go
@@ -30,6 +30,7 @@
 		statusVerb,
 		benchDecisionsVerb,
 		benchRequestsVerb,
+		benchCapacityVerb,
 		demoVerb,
 		versionVerb,
 	}
