Check ticket histories for linearizability; lose a disk on a running group

Cause: leader changes and lost disks were shown in virtual time only. Change: six operators race for ticket numbers while each of three replicas is killed and started again, history checked by porcupine; a replica that loses its folder returns under a new identity, becomes a voter, then a second one is killed; a lone replica refuses a process without memory.

--- a/internal/bench/lwrig/rig.go
+++ b/internal/bench/lwrig/rig.go
@@ -9,6 +9,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -325,6 +326,15 @@
 	}
 }
 
+// LoseDisk kills control replica i, removes its data folder and starts it again.
+func (s *System) LoseDisk(i int) error {
+	s.Control[i].Kill()
+	if err := os.RemoveAll(filepath.Join(s.Shape.Folder, fmt.Sprintf("control-%d", i))); err != nil {
+		return fmt.Errorf("remove data folder: %w", err)
+	}
+	return s.StartControl(i)
+}
+
 // LeaderIndex returns which control replica leads, or -1.
 func (s *System) LeaderIndex() int {
 	for i, n := range s.Control {
--- /dev/null
+++ b/internal/control/lwcontrol/history_test.go
@@ -0,0 +1,200 @@
+package lwcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/bench/lwrig"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/control/lwticket"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+// ticketInput is one operator's try to take a ticket number.
+type ticketInput struct {
+	number int
+	author string
+}
+
+// ticketOutput is who the answer says has the number; empty when the answer
+// was lost.
+type ticketOutput struct{ author string }
+
+// ticketModel says that a number belongs to the first who takes it.
+func ticketModel() porcupine.Model {
+	return porcupine.Model{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			byNumber := make(map[int][]porcupine.Operation)
+			for _, op := range history {
+				n := op.Input.(ticketInput).number
+				byNumber[n] = append(byNumber[n], op)
+			}
+			var parts [][]porcupine.Operation
+			for _, part := range byNumber {
+				parts = append(parts, part)
+			}
+			return parts
+		},
+		Init: func() any { return "" },
+		Step: func(state, input, output any) (bool, any) {
+			owner, in, out := state.(string), input.(ticketInput), output.(ticketOutput)
+			if owner == "" {
+				owner = in.author
+			}
+			return out.author == "" || out.author == owner, owner
+		},
+	}
+}
+
+func newSystem(t *testing.T, replicas int) *lwrig.System {
+	t.Helper()
+	s, err := lwrig.Start(lwrig.Shape{
+		Region: "r", Domains: []lwunit.FailureDomain{"a", "b", "c"}, Service: "s", Replicas: replicas, Entries: 1, Folder: t.TempDir(),
+	}, zap.NewNop())
+	is.New(t).NoErr(err)
+	t.Cleanup(s.Stop)
+	return s
+}
+
+func newClient(t *testing.T, s *lwrig.System) *lwlink.Client {
+	t.Helper()
+	e, err := lwrpc.Listen("", s.Key())
+	is.New(t).NoErr(err)
+	t.Cleanup(e.Close)
+	return lwlink.NewClient(e, s.ControlAddresses())
+}
+
+// take tries to take a number and returns who has it.
+func take(client *lwlink.Client, in ticketInput) ticketOutput {
+	text := fmt.Appendf(nil, `{"number": %d, "author": %q, "objects": [{"kind": "team", "name": "t%d", "spec": {}}]}`, in.number, in.author, in.number)
+	t, err := lwticket.Decode(text)
+	if err != nil {
+		panic(err)
+	}
+	data, err := t.Canonical()
+	if err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	out, err := client.Propose(ctx, lwstate.ApplyTicket{Ticket: data})
+	if err != nil && lwfault.KindOf(err) != lwfault.Conflict {
+		return ticketOutput{}
+	}
+	return ticketOutput{out.Ticket.Author}
+}
+
+// TestTicketHistoryIsLinearizable lets operators race for numbers while
+// control replicas are killed and started again.
+func TestTicketHistoryIsLinearizable(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3)
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	began := time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for operator := range 6 {
+		client := newClient(t, s)
+		rng := rand.New(rand.NewPCG(uint64(operator), 1))
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				in := ticketInput{1 + n/2 + rng.IntN(3), fmt.Sprintf("operator-%d", operator)}
+				op := porcupine.Operation{ClientId: operator, Input: in, Call: int64(time.Since(began))}
+				out := take(client, in)
+				op.Output, op.Return = out, int64(time.Since(began))
+				if out.author == "" {
+					op.Return = int64(time.Hour) // it may still take effect later
+				}
+				mu.Lock()
+				history = append(history, op)
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range 3 {
+		time.Sleep(700 * time.Millisecond)
+		s.Control[i].Kill()
+		time.Sleep(700 * time.Millisecond)
+		is.NoErr(s.StartControl(i))
+	}
+	time.Sleep(time.Second)
+	cancel()
+	wg.Wait()
+	is.True(len(history) > 50)
+	result, _ := porcupine.CheckOperationsVerbose(ticketModel(), history, time.Minute)
+	is.Equal(result, porcupine.Ok)
+}
+
+// TestLostDiskJoinsAsNewMember removes a replica's data folder: it must come
+// back under another identity, catch up and vote, and a second replica can be
+// lost then.
+func TestLostDiskJoinsAsNewMember(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3)
+	client := newClient(t, s)
+	for n := 1; n <= 20; n++ {
+		is.Equal(take(client, ticketInput{n, "aiko"}).author, "aiko")
+	}
+	before := replicaIDs(t, client)
+	is.NoErr(s.LoseDisk(0))
+	deadline := time.Now().Add(30 * time.Second)
+	for {
+		now := replicaIDs(t, client)
+		if len(now) == 3 && now[s.ControlAddresses()[0]] != before[s.ControlAddresses()[0]] {
+			break
+		}
+		is.True(time.Now().Before(deadline)) // the new member must become a voter
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.Control[1].Kill() // a second VM, right after the repair
+	for n := 1; n <= 21; n++ {
+		is.Equal(take(client, ticketInput{n, "aiko"}).author, "aiko")
+	}
+}
+
+// replicaIDs returns the identity of the voter at each address.
+func replicaIDs(t *testing.T, client *lwlink.Client) map[string]lwunit.ReplicaID {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	res, err := client.Query(ctx, lwlink.Query{Kind: lwlink.QueryStatus})
+	is.New(t).NoErr(err)
+	ids := make(map[string]lwunit.ReplicaID)
+	for _, r := range res.Replicas {
+		if r.Role != "learner" {
+			ids[r.Address] = r.ID
+		}
+	}
+	return ids
+}
+
+// TestFreshProcessSeesConfirmedPolicy asks a replica that cannot reach the
+// others for policy: it must refuse rather than hand out what it has.
+func TestFreshProcessSeesConfirmedPolicy(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3)
+	client := newClient(t, s)
+	is.Equal(take(client, ticketInput{1, "aiko"}).author, "aiko")
+	s.Control[0].Kill()
+	s.Control[1].Kill()
+	e, err := lwrpc.Listen("", s.Key())
+	is.NoErr(err)
+	defer e.Close()
+	alone := lwlink.NewClient(e, s.ControlAddresses()[2:])
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	_, err = alone.Watch(ctx, lwlink.Watch{Node: "fresh", Role: lwlink.RoleEntry})
+	is.True(err != nil)
+}
