Refuse new commands before the disk is full

Cause: a full disk ended the process at the first write that failed, although what was accepted could be kept. Change: below 128 MiB free a replica refuses commands with Retry-After and takes them again when there is more. Before: process ends.

--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -177,7 +177,7 @@
 		}
 	}
 	cfg := lwreplica.DefaultConfig(n.contents.Identity.Replica, n.cfg.Seed^uint64(time.Now().UnixNano()))
-	r, err := newReplica(n.log, n.wal, n.contents, n.endpoint, cfg)
+	r, err := newReplica(n.log, n.wal, n.contents, n.endpoint, n.folder.Free, cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,11 +23,13 @@
 )
 
 const (
-	tickInterval     = 10 * time.Millisecond
-	eventQueueLength = 8192
-	maxEventBatch    = 2048
-	snapshotEvery    = 20000 // applied entries
-	commandTimeout   = 5 * time.Second
+	tickInterval      = 10 * time.Millisecond
+	eventQueueLength  = 8192
+	maxEventBatch     = 2048
+	snapshotEvery     = 20000 // applied entries
+	commandTimeout    = 5 * time.Second
+	diskCheckInterval = time.Second
+	leastFree         = 128 * lwunit.MiB // below it nothing new is accepted
 )
 
 var (
@@ -70,6 +73,8 @@
 	id       lwunit.ReplicaID
 	events   chan event
 	start    time.Time
+	free     func() (lwunit.Bytes, error) // space left on the disk
+	full     atomic.Bool                  // too little to accept more
 
 	// Used by the driver goroutine only.
 	core      *lwreplica.Core
@@ -108,14 +113,14 @@
 	since  time.Duration
 }
 
-func newReplica(log *zap.Logger, wal *lwwal.Log, c lwwal.Contents, e *lwrpc.Endpoint, cfg lwreplica.Config) (*replica, error) {
+func newReplica(log *zap.Logger, wal *lwwal.Log, c lwwal.Contents, e *lwrpc.Endpoint, free func() (lwunit.Bytes, error), cfg lwreplica.Config) (*replica, error) {
 	state, err := lwstate.Restore(c.Restored.Snapshot.Data)
 	if err != nil {
 		return nil, fmt.Errorf("restore state: %w", err)
 	}
 	state.SkipTo(lwunit.Revision(c.Restored.Snapshot.Index))
 	r := &replica{
-		log: log, wal: wal, endpoint: e, id: c.Identity.Replica, events: make(chan event, eventQueueLength), start: time.Now(),
+		log: log, wal: wal, endpoint: e, id: c.Identity.Replica, events: make(chan event, eventQueueLength), start: time.Now(), free: free,
 		waiters: make(map[uint64]*waiter), atIndex: make(map[lwreplica.Index]*waiter), senders: make(map[lwunit.ReplicaID]*sender),
 		applied: c.Restored.Snapshot.Index, lastSnap: c.Restored.Snapshot.Index, state: state, changed: make(chan struct{}),
 	}
@@ -130,7 +135,12 @@
 func (r *replica) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	checked := time.Time{}
 	for {
+		if time.Since(checked) > diskCheckInterval {
+			checked = time.Now()
+			r.checkDisk()
+		}
 		var batch []event
 		select {
 		case <-ctx.Done():
@@ -149,6 +159,18 @@
 	}
 }
 
+// checkDisk stops accepting commands while there is still room to keep what
+// was accepted, and resumes when there is more again.
+func (r *replica) checkDisk() {
+	free, err := r.free()
+	full := err == nil && free < leastFree
+	if full == r.full.Load() {
+		return
+	}
+	r.full.Store(full)
+	r.log.Warn("disk space", zap.Bool("accepting", !full), zap.Stringer("free", free))
+}
+
 func (r *replica) gather(batch []event) []event {
 	for len(batch) < maxEventBatch {
 		select {
@@ -442,6 +464,9 @@
 
 // propose commits a command and returns its result.
 func (r *replica) propose(ctx context.Context, c lwstate.Command) (lwunit.Revision, lwstate.Result, error) {
+	if r.full.Load() {
+		return 0, lwstate.Result{}, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's disk is nearly full", RetryAfter: time.Minute}
+	}
 	data, err := lwstate.EncodeCommand(c, lwunit.Millis(time.Now().UnixMilli()))
 	if err != nil {
 		return 0, lwstate.Result{}, err
--- a/internal/control/lwdisk/disk.go
+++ b/internal/control/lwdisk/disk.go
@@ -3,7 +3,6 @@
 package lwdisk
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,6 +12,7 @@
 	"syscall"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
 
 const (
@@ -66,6 +66,15 @@
 // Close releases the lock.
 func (f *Folder) Close() error { return f.lock.Close() }
 
+// Free returns the bytes left to this process on the file system.
+func (f *Folder) Free() (lwunit.Bytes, error) {
+	var st syscall.Statfs_t
+	if err := syscall.Statfs(f.path, &st); err != nil {
+		return 0, fmt.Errorf("free space of data folder: %w", err)
+	}
+	return lwunit.Bytes(st.Bavail) * lwunit.Bytes(st.Bsize), nil
+}
+
 // Append opens a file for appending, making it if it is missing.
 func (f *Folder) Append(name string) (File, error) {
 	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
@@ -129,9 +138,6 @@
 	return nil
 }
 
-// IsFull reports whether err means that the disk has no room.
-func IsFull(err error) bool { return errors.Is(err, syscall.ENOSPC) }
-
 // WriteFile replaces a file so that either the old or the new content
 // survives a crash.
 func WriteFile(d Disk, name string, data []byte) error {
