Cancel on disconnect, bound stops, limit addresses by setting

Cause: nbhttp tells of a disconnect only after the handler returned; a connection closed while it is being added is never counted off, so a stop could wait for ever, and its caller too; a fixed limit for one address would hit a balancer. Change: watch long requests; stop engines within 2 s; close over-limit connections after they are added; connections_per_address in the settings, default none; stand-in backend servers have real slots.

--- a/internal/base/lwsetting/setting.go
+++ b/internal/base/lwsetting/setting.go
@@ -55,6 +55,9 @@
 	Address        string          `json:"address"`                         // IP:port for callers and operators
 	OperatorSHA256 string          `json:"operator_token_sha256,omitempty"` // digest of a token that is an operator from the start
 	DrainNotice    lwunit.Duration `json:"drain_notice"`                    // from readiness off to the listener closing
+	// ConnectionsPerAddress bounds what one IP address may open; 0 is no limit,
+	// which a balancer that hides callers' addresses needs.
+	ConnectionsPerAddress int `json:"connections_per_address"`
 }
 
 // Agent are the settings of the agent role.
--- a/internal/bench/lwload/cases.go
+++ b/internal/bench/lwload/cases.go
@@ -93,7 +93,7 @@
 
 func slowOne(_ context.Context, s *lwrig.System) {
 	slow := LogNormal(slowFactor*serviceTime, serviceSigma, 99)
-	s.Backends[0].SetBehaviour(lwstandin.Behaviour{Delay: slow})
+	s.Backends[0].SetBehaviour(lwstandin.Behaviour{Delay: slow, Slots: slots})
 }
 
 // loseDomain kills the agents and backend servers of one failure domain.
@@ -126,7 +126,7 @@
 		return Report{}, fmt.Errorf("make a folder: %w", err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	s, err := startSystem(c, folder, log)
+	s, err := startSystem(c, folder, oneWay, log)
 	if err != nil {
 		return Report{}, err
 	}
@@ -172,10 +172,10 @@
 	return r
 }
 
-func startSystem(c Case, folder string, log *zap.Logger) (*lwrig.System, error) {
+func startSystem(c Case, folder string, delay time.Duration, log *zap.Logger) (*lwrig.System, error) {
 	shape := lwrig.Shape{
 		Region: "kyushu-south", Domains: []lwunit.FailureDomain{"yatsushiro", "hitoyoshi", "minamata"}, Service: service,
-		Workers: workers, Replicas: 1, Entries: entries, Folder: folder, OneWay: oneWay,
+		Workers: workers, Replicas: 1, Entries: entries, Folder: folder, OneWay: delay,
 		Capacity: lwunit.Resources{Millicores: 64000, Memory: 250 * lwunit.GiB, Accelerators: 2},
 	}
 	shape.Options.Routing = c.Policy
@@ -197,7 +197,7 @@
 		return nil, err
 	}
 	for i, b := range s.Backends {
-		b.SetBehaviour(lwstandin.Behaviour{Delay: LogNormal(serviceTime, serviceSigma, uint64(i))})
+		b.SetBehaviour(lwstandin.Behaviour{Delay: LogNormal(serviceTime, serviceSigma, uint64(i)), Slots: slots})
 	}
 	if err := s.AwaitBackends(ctx); err != nil {
 		s.Stop()
@@ -214,7 +214,7 @@
 		return through, direct, fmt.Errorf("make a folder: %w", err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	s, err := startSystem(Case{Name: "path cost"}, folder, log)
+	s, err := startSystem(Case{Name: "path cost"}, folder, 0, log)
 	if err != nil {
 		return through, direct, err
 	}
--- a/internal/bench/lwload/load.go
+++ b/internal/bench/lwload/load.go
@@ -24,6 +24,7 @@
 	digits        = 3
 	bodyBytes     = 512
 	idleConns     = 512
+	giveUp        = 15 * time.Second
 	maxOpen       = 4000 // requests in flight; one due beyond that counts as an error
 )
 
@@ -117,6 +118,8 @@
 }
 
 func send(ctx context.Context, client *http.Client, p Plan, url string, body []byte, due time.Time) result {
+	ctx, cancel := context.WithTimeout(ctx, giveUp)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+p.Path, bytes.NewReader(body))
 	if err != nil {
 		return result{broken: true}
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -95,7 +95,7 @@
 	}
 	n.entry, err = lwentry.Start(lwentry.Config{
 		Name: s.Name, Region: s.Region, Domain: s.FailureDomain, Address: s.Entry.Address, ClusterKey: s.ClusterKey(),
-		OperatorSHA256: s.Entry.OperatorSHA256, DrainNotice: s.Entry.DrainNotice.Std(), Routing: opts.Routing, Dial: opts.Dial, Seed: mathrand.Uint64(),
+		OperatorSHA256: s.Entry.OperatorSHA256, DrainNotice: s.Entry.DrainNotice.Std(), PerAddress: s.Entry.ConnectionsPerAddress, Routing: opts.Routing, Dial: opts.Dial, Seed: mathrand.Uint64(),
 	}, client, n.log)
 	return err
 }
--- a/internal/entry/lwentry/entry.go
+++ b/internal/entry/lwentry/entry.go
@@ -31,7 +31,7 @@
 	drainNotice      = 2 * time.Second
 	idleToAgent      = 32
 	bodyLimit        = 4 * lwunit.MiB
-	connsPerAddress  = 1024
+	maxConns         = 8192
 	dialTimeout      = time.Second
 	longestSaneDelay = time.Hour
 )
@@ -160,7 +160,7 @@
 	}
 	e.policy.Store(&policy{objects: make(map[lwticket.Key]lwstate.ObjectRecord), tokens: make(map[string]grant)})
 	server, err := lwhttp.Listen(lwhttp.Config{
-		Name: "entry", Address: cfg.Address, Handler: e.handler(), MaxBody: bodyLimit, MaxPerAddress: connsPerAddress,
+		Name: "entry", Address: cfg.Address, Handler: e.handler(), MaxBody: bodyLimit, MaxConns: maxConns, MaxPerAddress: cfg.PerAddress,
 	})
 	if err != nil {
 		cancel()
--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -31,6 +31,9 @@
 	headerSlack         = 64 * lwunit.KiB
 	handlerLimit        = 2048
 	unsentLimit         = 256 << 10
+	stopLimit           = 2 * time.Second
+	watchEvery          = 50 * time.Millisecond
+	closeGrace          = 10 * time.Millisecond
 	drainPoll           = 10 * time.Millisecond
 	connectionHeader    = "Connection"
 	connectionCloseWord = "close"
@@ -39,6 +42,7 @@
 var (
 	httpRequests      = lwmetric.Counter("http_requests_total")
 	httpDisconnects   = lwmetric.Counter("http_caller_disconnects_total")
+	httpStopsCut      = lwmetric.Counter("http_stops_cut_total")
 	httpSlowReaders   = lwmetric.Counter("http_slow_reader_closes_total")
 	httpAddressLimits = lwmetric.Counter("http_address_limit_closes_total")
 )
@@ -144,7 +148,23 @@
 }
 
 // Close stops listening and closes every connection.
-func (s *Server) Close() { s.engine.Stop() }
+func (s *Server) Close() { StopWithin(s.engine.Stop) }
+
+// StopWithin runs the stop function of an nbio engine, but waits only so long:
+// the engine waits for every connection, and one that was closed while it was
+// being added is never counted off.
+func StopWithin(stop func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		stop()
+	}()
+	select {
+	case <-done:
+	case <-time.After(stopLimit):
+		httpStopsCut.Add(1)
+	}
+}
 
 func host(c net.Conn) string {
 	h, _, err := net.SplitHostPort(c.RemoteAddr().String())
@@ -166,7 +186,9 @@
 	s.address.mu.Unlock()
 	if over {
 		httpAddressLimits.Add(1)
-		_ = c.Close()
+		// nbhttp polls the connection only after this callback; one closed
+		// before would never be, and its caller would wait for ever.
+		time.AfterFunc(closeGrace, func() { _ = c.Close() })
 	}
 }
 
@@ -234,6 +256,34 @@
 	}
 }
 
+// watch closes c soon after its caller has disconnected. nbhttp tells of that
+// only once the handler has returned, which a handler that waits never would.
+func (c *connection) watch(nbc *nbio.Conn) (stop func()) {
+	var mu sync.Mutex
+	done := false
+	var timer *time.Timer
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(watchEvery, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if done {
+			return
+		}
+		if gone, _ := nbc.IsClosed(); gone {
+			c.close()
+			return
+		}
+		timer.Reset(watchEvery)
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		done = true
+		timer.Stop()
+	}
+}
+
 func (c *connection) end() {
 	c.mu.Lock()
 	c.cancel = nil
@@ -265,6 +315,8 @@
 	defer cancel()
 	conn.begin(cancel)
 	defer conn.end()
+	stop := conn.watch(nbc)
+	defer stop()
 	out := &flowWriter{Response: res, conn: conn, nbc: nbc, stall: s.cfg.WriteStall}
 	s.cfg.Handler.ServeHTTP(out, r.WithContext(ctx))
 }
--- /dev/null
+++ b/internal/net/lwhttp/server_test.go
@@ -0,0 +1,142 @@
+package lwhttp_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
+)
+
+const patience = 10 * time.Second
+
+func listen(t *testing.T, cfg lwhttp.Config) *lwhttp.Server {
+	t.Helper()
+	cfg.Name, cfg.Address = "test", "127.0.0.1:0"
+	s, err := lwhttp.Listen(cfg)
+	is.New(t).NoErr(err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }
+
+// closedSoon reports whether the peer closes the connection within patience.
+func closedSoon(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(patience))
+	_, err := io.Copy(io.Discard, c)
+	ne, isNet := err.(net.Error)
+	return !isNet || !ne.Timeout()
+}
+
+func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(ok), MaxPerAddress: 3})
+	closed := 0
+	for range 6 {
+		c, err := net.Dial("tcp", s.Address())
+		is.NoErr(err)
+		defer func() { _ = c.Close() }()
+		_, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		time.Sleep(20 * time.Millisecond)
+		_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := io.Copy(io.Discard, c); err == nil || !strings.Contains(err.Error(), "timeout") {
+			closed++
+		}
+	}
+	is.Equal(closed, 3)
+}
+
+func TestSlowAndHostileCallers(t *testing.T) {
+	cases := map[string]string{
+		"half a header":     "GET / HTTP/1.1\r\nHost: ",
+		"half a body":       "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nabc",
+		"not HTTP":          "\x16\x03\x01 hello\r\n\r\n",
+		"a body too large":  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n" + strings.Repeat("x", 3<<20),
+		"an endless header": "GET / HTTP/1.1\r\nX: " + strings.Repeat("y", 3<<20),
+	}
+	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(ok), MaxBody: 1 << 20, Idle: 300 * time.Millisecond})
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, err := net.Dial("tcp", s.Address())
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_, _ = c.Write([]byte(text))
+			is.True(closedSoon(c))
+			res, err := http.Get("http://" + s.Address()) // nothing else is disturbed
+			is.NoErr(err)
+			_ = res.Body.Close()
+			is.Equal(res.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+func TestLongAnswerOutlivesTheIdleLimit(t *testing.T) {
+	is := is.New(t)
+	s := listen(t, lwhttp.Config{Idle: 200 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(600 * time.Millisecond)
+		ok(w, r)
+	})})
+	res, err := http.Get("http://" + s.Address())
+	is.NoErr(err)
+	data, err := io.ReadAll(res.Body)
+	is.NoErr(err)
+	is.Equal(string(data), "ok")
+}
+
+func TestDisconnectCancelsTheRequest(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{})
+	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(cancelled)
+	})})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address(), nil)
+	is.NoErr(err)
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err = http.DefaultClient.Do(req)
+	is.True(err != nil)
+	select {
+	case <-cancelled:
+	case <-time.After(patience):
+		t.Fatal("the handler was not cancelled")
+	}
+}
+
+func TestSlowReaderHoldsTheHandlerBack(t *testing.T) {
+	is := is.New(t)
+	const size = 64 << 20
+	progress := make(chan int, 1)
+	s := listen(t, lwhttp.Config{WriteStall: 300 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		written := 0
+		chunk := bytes.Repeat([]byte("x"), 64<<10)
+		for written < size {
+			n, err := w.Write(chunk)
+			written += n
+			if err != nil {
+				break
+			}
+		}
+		progress <- written
+	})})
+	c, err := net.Dial("tcp", s.Address())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	is.NoErr(err)
+	select {
+	case written := <-progress:
+		is.True(written < size) // it was stopped, not buffered whole
+	case <-time.After(patience):
+		t.Fatal("the handler was neither held back nor stopped")
+	}
+}
--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -130,7 +130,7 @@
 		p.drop()
 	}
 	e.mu.RUnlock()
-	e.closed.Do(e.engine.Stop)
+	e.closed.Do(func() { lwhttp.StopWithin(e.engine.Stop) })
 }
 
 // attach makes a session on a new connection; dialled ones are trusted.
--- a/internal/worker/lwstandin/backend.go
+++ b/internal/worker/lwstandin/backend.go
@@ -29,6 +29,7 @@
 	Truncate bool                 // break off in the middle of the answer
 	Status   int                  // 0 is 200
 	Hang     bool                 // never answer
+	Slots    int                  // requests it works on at once; the others wait inside it; 0 is no limit
 }
 
 // Backend is a stand-in backend server. Its answer to a request is Render of
@@ -45,6 +46,7 @@
 
 	mu        sync.Mutex
 	behaviour Behaviour
+	slots     chan struct{}
 	runs      map[string]int
 	inFlight  int
 	peak      int
@@ -82,6 +84,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.behaviour = h
+	b.slots = nil
+	if h.Slots > 0 {
+		b.slots = make(chan struct{}, h.Slots)
+	}
 }
 
 // Behaviour returns how requests are treated.
@@ -142,9 +148,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if h.Delay != nil {
-		time.Sleep(h.Delay())
-	}
+	b.work(h)
 	answer := Render(body)
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
@@ -162,6 +166,21 @@
 	_, _ = w.Write(answer)
 }
 
+// work takes the service time, within a slot if there are slots.
+func (b *Backend) work(h Behaviour) {
+	if h.Delay == nil {
+		return
+	}
+	b.mu.Lock()
+	slots := b.slots
+	b.mu.Unlock()
+	if slots != nil {
+		slots <- struct{}{}
+		defer func() { <-slots }()
+	}
+	time.Sleep(h.Delay())
+}
+
 func (b *Backend) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		_ = b.post(ctx, "/agent/v1/announce", map[string]string{
