--- a/internal/entry/lwentry/entry.go
+++ b/internal/entry/lwentry/entry.go
@@ -57,6 +57,7 @@
 	OperatorSHA256 string // digest of a token that is an operator before any ticket
 	Routing        lwroute.Policy
 	DrainNotice    time.Duration                                                        // between readiness off and the listener closing
+	PerAddress     int                                                                  // connections from one IP address; 0 is no limit
 	Dial           func(ctx context.Context, network, address string) (net.Conn, error) // to agents; nil for the network's own
 	Seed           uint64
 }
