--- a/internal/control/lwplacement/core.go
+++ b/internal/control/lwplacement/core.go
@@ -148,7 +148,9 @@
 	cleared map[lwunit.WorkerID]clearing   // room being made for an urgent job
 	budget  evictionBudget
 	movedAt time.Duration
-	picks   uint64
+
+	resizedAt time.Duration
+	picks     uint64
 }
 
 // New returns a core that has observed nothing.
--- a/internal/control/lwplacement/evict.go
+++ b/internal/control/lwplacement/evict.go
@@ -38,6 +38,9 @@
 // preempt makes room for urgent work that fits nowhere: batch tasks of one
 // worker are evicted, borrowed ones first, those that lose least.
 func (c *Core) preempt(r *round) {
+	if len(c.blocked) == 0 {
+		return
+	}
 	for _, j := range r.state.WaitingJobs() {
 		if j.Spec.Class == lwstate.ClassBatch || c.blockedFor(r.now, j.Spec.ID) < c.cfg.UrgentWait || c.clearedFor(j.Spec.ID) {
 			continue
@@ -83,8 +86,8 @@
 
 // victims chooses batch tasks of a worker until reserve fits: those of the
 // same team and those that another team runs beyond its quota.
-func (c *Core) victims(r *round, w lwstate.Worker, team lwunit.TeamName, reserve lwunit.Resources) ([]lwstate.Task, float64, bool) {
-	free := r.free[w.Spec.ID]
+func (c *Core) victims(r *round, w *lwstate.Worker, team lwunit.TeamName, reserve lwunit.Resources) ([]lwstate.Task, float64, bool) {
+	free := r.free(w.Spec.ID)
 	list := c.byLoss(r, w.Spec.ID)
 	var victims []lwstate.Task
 	loss := 0.0
@@ -146,7 +149,7 @@
 	if !borrows(r.state, j.Spec.Team) {
 		loss *= 2
 	}
-	return loss * max(0.1, r.state.Deployment().EvictionWeight)
+	return loss * max(0.1, r.deploy.EvictionWeight)
 }
 
 // evictionBudget bounds the evictions for interference.
--- a/internal/control/lwplacement/history.go
+++ b/internal/control/lwplacement/history.go
@@ -35,7 +35,7 @@
 	h.at, h.begun = r.now, true
 	for _, w := range r.workers {
 		id := w.Spec.ID
-		if len(r.state.BackendsOn(id)) == 0 {
+		if !r.state.HasBackend(id) {
 			delete(h.past, id)
 			continue
 		}
--- a/internal/control/lwplacement/ladder.go
+++ b/internal/control/lwplacement/ladder.go
@@ -76,7 +76,7 @@
 	}
 	for _, w := range r.workers {
 		l := c.ladder[w.Spec.ID]
-		if l == nil {
+		if l == nil || (!l.wanted && l.step == 0) {
 			continue
 		}
 		l.clean(r.state, w.Spec.ID)
@@ -100,7 +100,7 @@
 	}
 }
 
-func (c *Core) stepUp(r *round, w lwstate.Worker, l *rungs) {
+func (c *Core) stepUp(r *round, w *lwstate.Worker, l *rungs) {
 	culprits := c.culprits(r, w, l.service)
 	if len(culprits) == 0 {
 		return
@@ -149,7 +149,7 @@
 	if c.cfg.Ladder == LadderFull && !c.hasQuieter(r, j, t) {
 		return
 	}
-	if c.cfg.Ladder == LadderFull && !c.budget.take(r.now, r.state.Deployment().EvictionBudget) {
+	if c.cfg.Ladder == LadderFull && !c.budget.take(r.now, r.deploy.EvictionBudget) {
 		return
 	}
 	delete(l.throttled, t.ID)
@@ -162,9 +162,9 @@
 	if !ok {
 		return false
 	}
-	now := c.disturbance(r, j, t.Reserve, here)
+	now := c.disturbance(r, j, t.Reserve, &here)
 	for i, w := range r.workers {
-		if w.Spec.ID != t.Worker && t.Reserve.Fits(r.free[w.Spec.ID]) && c.passes(r, j, w, i) &&
+		if w.Spec.ID != t.Worker && t.Reserve.Fits(r.free(w.Spec.ID)) && c.passes(r, j, w, i) &&
 			c.disturbance(r, j, t.Reserve, w) < (1-movesFor)*now {
 			return true
 		}
@@ -174,7 +174,7 @@
 
 // culprits returns the tasks expected to cause most of a service's late
 // requests, the worst first.
-func (c *Core) culprits(r *round, w lwstate.Worker, s lwunit.ServiceName) []lwstate.Task {
+func (c *Core) culprits(r *round, w *lwstate.Worker, s lwunit.ServiceName) []lwstate.Task {
 	type suspect struct {
 		task  lwstate.Task
 		cause float64
--- a/internal/control/lwplacement/price.go
+++ b/internal/control/lwplacement/price.go
@@ -123,9 +123,9 @@
 			continue
 		}
 		p := place{id: w.Spec.ID, room: float64(w.Spec.Capacity.Millicores - r.state.ServiceReserve(w.Spec.ID).Millicores)}
-		for _, b := range r.state.BackendsOn(w.Spec.ID) {
+		r.state.EachBackendOn(w.Spec.ID, func(b lwstate.BackendServer) {
 			p.sensitive += c.prices.loadOf(w.Spec.ID, b.Service)
-		}
+		})
 		list = append(list, p)
 	}
 	sort.SliceStable(list, func(i, k int) bool { return list[i].sensitive < list[k].sensitive })
@@ -194,7 +194,7 @@
 
 // disturbance is the share of requests expected to become late by a task, and
 // the worth of the room it takes to noisier work.
-func (c *Core) disturbance(r *round, j lwstate.Job, reserve lwunit.Resources, w lwstate.Worker) float64 {
+func (c *Core) disturbance(r *round, j lwstate.Job, reserve lwunit.Resources, w *lwstate.Worker) float64 {
 	if !c.cfg.LearnPairs {
 		return 0
 	}
@@ -204,14 +204,15 @@
 
 // noiseAt is the share of requests on a worker expected to become late by a
 // task.
-func (c *Core) noiseAt(r *round, j lwstate.Job, reserve lwunit.Resources, w lwstate.Worker) float64 {
+func (c *Core) noiseAt(r *round, j lwstate.Job, reserve lwunit.Resources, w *lwstate.Worker) float64 {
 	if !c.cfg.LearnPairs {
 		return 0
 	}
 	sum := 0.0
 	x := ratio(int64(reserve.Millicores), int64(w.Spec.Capacity.Millicores))
-	for _, b := range r.state.BackendsOn(w.Spec.ID) {
-		sum += c.pairs.expected(b.Service, programName(j.Spec.Program)) * c.prices.loadOf(w.Spec.ID, b.Service) * x
-	}
+	program := programName(j.Spec.Program)
+	r.state.EachBackendOn(w.Spec.ID, func(b lwstate.BackendServer) {
+		sum += c.pairs.expected(b.Service, program) * c.prices.loadOf(w.Spec.ID, b.Service) * x
+	})
 	return sum
 }
--- a/internal/control/lwplacement/rebalance.go
+++ b/internal/control/lwplacement/rebalance.go
@@ -26,11 +26,11 @@
 	if !c.cfg.LearnPairs || c.cfg.Ladder != LadderFull || r.now-c.movedAt < c.cfg.MoveEvery || len(r.stops) >= c.cfg.MaxStops {
 		return
 	}
+	c.movedAt = r.now // looking costs as much as moving
 	best := c.bestMove(r)
-	if best.task.ID == "" || !c.budget.take(r.now, r.state.Deployment().EvictionBudget) {
+	if best.task.ID == "" || !c.budget.take(r.now, r.deploy.EvictionBudget) {
 		return
 	}
-	c.movedAt = r.now
 	r.stop(best.task)
 	c.cleared[best.to] = clearing{best.task.Job, r.now + clearFor}
 }
@@ -38,7 +38,7 @@
 func (c *Core) bestMove(r *round) move {
 	var best move
 	for _, w := range r.workers {
-		if len(r.state.BackendsOn(w.Spec.ID)) == 0 || w.Lost {
+		if !r.state.HasBackend(w.Spec.ID) || w.Lost {
 			continue
 		}
 		for _, t := range r.state.TasksOnWorker(w.Spec.ID) {
@@ -52,7 +52,7 @@
 
 // moveOf returns the best move of one task, weighed by what its eviction
 // costs.
-func (c *Core) moveOf(r *round, w lwstate.Worker, t lwstate.Task) (move, bool) {
+func (c *Core) moveOf(r *round, w *lwstate.Worker, t lwstate.Task) (move, bool) {
 	j, ok := r.state.Job(t.Job)
 	if !ok || j.Spec.Class != lwstate.ClassBatch || t.Phase != lwstate.TaskRunning || r.stopping[t.ID] || t.Evictions > 1 {
 		return move{}, false
@@ -62,10 +62,10 @@
 		return move{}, false
 	}
 	here := c.disturbance(r, j, t.Reserve, w)
-	d := r.state.Deployment()
+	d := r.deploy
 	m := move{task: t}
 	for i, to := range r.workers {
-		if to.Spec.ID == w.Spec.ID || !t.Reserve.Fits(r.free[to.Spec.ID]) || !c.passes(r, j, to, i) {
+		if to.Spec.ID == w.Spec.ID || !t.Reserve.Fits(r.free(to.Spec.ID)) || !c.passes(r, j, to, i) {
 			continue
 		}
 		gain := (here-c.disturbance(r, j, t.Reserve, to))*d.TailWeight - worthMoving*d.EvictionWeight
--- a/internal/control/lwplacement/round.go
+++ b/internal/control/lwplacement/round.go
@@ -5,6 +5,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 )
 
 // round is one decision: the state, the room left as the stages take it, and
@@ -12,8 +13,9 @@
 type round struct {
 	now     time.Duration
 	state   *lwstate.State
-	workers []lwstate.Worker
-	free    map[lwunit.WorkerID]lwunit.Resources
+	workers []*lwstate.Worker
+	taken   map[lwunit.WorkerID]lwunit.Resources // by the stages so far
+	deploy  lwticket.DeploymentSpec
 	domains map[lwunit.JobID]map[lwunit.FailureDomain]int // tasks of a job by domain
 
 	rejects    []lwstate.Command
@@ -28,20 +30,37 @@
 }
 
 func newRound(now time.Duration, s *lwstate.State) *round {
-	r := &round{now: now, state: s, workers: s.Workers(), stopping: make(map[lwunit.TaskID]bool), placed: make(map[lwunit.TaskID]bool)}
-	r.free = make(map[lwunit.WorkerID]lwunit.Resources, len(r.workers))
-	for _, w := range r.workers {
-		free := s.Free(w.Spec.ID)
-		r.free[w.Spec.ID] = free
+	r := &round{
+		now: now, state: s, stopping: make(map[lwunit.TaskID]bool), placed: make(map[lwunit.TaskID]bool),
+		taken: make(map[lwunit.WorkerID]lwunit.Resources), deploy: s.Deployment(),
+	}
+	s.EachWorker(func(w *lwstate.Worker) {
+		r.workers = append(r.workers, w)
 		r.largest = r.largest.Max(w.Spec.Capacity)
+	})
+	return r
+}
+
+// free returns the room on a worker that the stages so far have left.
+func (r *round) free(id lwunit.WorkerID) lwunit.Resources {
+	return r.state.Free(id).Sub(r.taken[id])
+}
+
+// take uses room on a worker.
+func (r *round) take(id lwunit.WorkerID, amount lwunit.Resources) {
+	r.taken[id] = r.taken[id].Add(amount)
+}
+
+// measureRoom finds the largest free amount of each resource, once a round.
+func (r *round) measureRoom() {
+	for _, w := range r.workers {
 		if takesTasks(w) {
-			r.room = r.room.Max(free)
+			r.room = r.room.Max(r.free(w.Spec.ID))
 		}
 	}
-	return r
 }
 
-func takesTasks(w lwstate.Worker) bool { return !w.Lost && !w.Drain && w.Suspect == "" }
+func takesTasks(w *lwstate.Worker) bool { return !w.Lost && !w.Drain && w.Suspect == "" }
 
 func (r *round) stop(t lwstate.Task) {
 	r.stops = append(r.stops, t.ID)
--- a/internal/control/lwplacement/size.go
+++ b/internal/control/lwplacement/size.go
@@ -17,6 +17,7 @@
 	highestShare    = 6.0 // and at most this many times the declaration
 	resizeThreshold = 0.1 // smaller changes are not worth a command
 	fullAt          = 0.97
+	resizeEvery     = time.Second
 )
 
 // size is what is known of a class.
@@ -116,9 +117,10 @@
 // together use nearly all its memory, the one that outgrew its reserve most is
 // moved before the worker is full.
 func (c *Core) resize(r *round) {
-	if !c.cfg.LearnSizes {
+	if !c.cfg.LearnSizes || (c.resizedAt > 0 && r.now-c.resizedAt < resizeEvery) {
 		return
 	}
+	c.resizedAt = r.now
 	for _, w := range r.workers {
 		if !w.Lost {
 			c.resizeWorker(r, w)
@@ -126,7 +128,7 @@
 	}
 }
 
-func (c *Core) resizeWorker(r *round, w lwstate.Worker) {
+func (c *Core) resizeWorker(r *round, w *lwstate.Worker) {
 	var memory lwunit.Bytes
 	var worst lwstate.Task
 	var over lwunit.Bytes
@@ -141,8 +143,8 @@
 		}
 		if next, due := resized(t.Reserve, used); due {
 			grow := next.Sub(t.Reserve)
-			if grow.Fits(r.free[w.Spec.ID]) {
-				r.free[w.Spec.ID] = r.free[w.Spec.ID].Sub(grow)
+			if grow.Fits(r.free(w.Spec.ID)) {
+				r.take(w.Spec.ID, grow)
 				r.resizes = append(r.resizes, lwstate.Resize{Task: t.ID, Token: t.Token, Reserve: next})
 			}
 		}
--- a/internal/control/lwplacement/start.go
+++ b/internal/control/lwplacement/start.go
@@ -15,6 +15,10 @@
 // for this round, so it holds back nobody; once it has waited for HoldAfter a
 // worker is kept free for it, so the others do not hold it back for ever.
 func (c *Core) start(r *round) {
+	if r.state.QueuedCount() == 0 {
+		return
+	}
+	r.measureRoom()
 	f := c.newFairQueue(r)
 	for f.Len() > 0 && len(r.placements) < c.cfg.MaxStarts {
 		q := (*f)[0]
@@ -56,7 +60,6 @@
 			c.noteBlocked(r, j, reserve)
 			return false
 		}
-		r.free[w] = r.free[w].Sub(reserve)
 		r.placements = append(r.placements, lwstate.Placement{Task: t.ID, Worker: w, Reserve: reserve})
 		r.placed[t.ID] = true
 		c.health.placed(w)
@@ -114,7 +117,7 @@
 
 // candidate is a worker and what it costs to place a task there.
 type candidate struct {
-	worker lwstate.Worker
+	worker *lwstate.Worker
 	cost   float64
 }
 
@@ -130,7 +133,7 @@
 	cs := &candidates{core: c, job: j}
 	limit := c.bestPlace(r, j, reserve) + c.tolerance(r, j)
 	for i, w := range r.workers {
-		if !c.passes(r, j, w, i) || !reserve.Fits(r.free[w.Spec.ID]) || c.disturbance(r, j, reserve, w) > limit {
+		if !c.passes(r, j, w, i) || !reserve.Fits(r.free(w.Spec.ID)) || c.disturbance(r, j, reserve, w) > limit {
 			continue
 		}
 		cs.heap = append(cs.heap, candidate{w, c.cost(r, j, reserve, w)})
@@ -163,24 +166,22 @@
 		return math.Inf(1)
 	}
 	waited := time.Duration(r.state.Clock()-j.Submitted) * time.Millisecond
-	d := r.state.Deployment()
+	d := r.deploy
 	weight := max(0.1, d.ThroughputWeight) / max(0.1, d.TailWeight)
 	return c.cfg.Tolerance * weight * math.Exp2(float64(waited)/float64(c.cfg.ToleranceUp))
 }
 
-// take returns the cheapest worker that still has room. Its cost is computed
-// again, since it has less room now.
+// take returns the cheapest worker that still has room and takes the room. Its
+// cost is computed again, since it has less now.
 func (cs *candidates) take(r *round, reserve lwunit.Resources) (lwunit.WorkerID, bool) {
 	for len(cs.heap) > 0 {
 		w := cs.heap[0].worker
-		if !reserve.Fits(r.free[w.Spec.ID]) || !cs.core.health.accepts(w.Spec.ID) {
+		if !reserve.Fits(r.free(w.Spec.ID)) || !cs.core.health.accepts(w.Spec.ID) {
 			heap.Pop(&cs.heap)
 			continue
 		}
-		after := r.free[w.Spec.ID]
-		r.free[w.Spec.ID] = after.Sub(reserve)
+		r.take(w.Spec.ID, reserve)
 		cs.heap[0].cost = cs.core.cost(r, cs.job, reserve, w)
-		r.free[w.Spec.ID] = after
 		heap.Fix(&cs.heap, 0)
 		return w.Spec.ID, true
 	}
@@ -188,7 +189,7 @@
 }
 
 // passes applies the filters that do not depend on room.
-func (c *Core) passes(r *round, j lwstate.Job, w lwstate.Worker, i int) bool {
+func (c *Core) passes(r *round, j lwstate.Job, w *lwstate.Worker, i int) bool {
 	switch {
 	case !takesTasks(w) || !c.health.accepts(w.Spec.ID):
 		return false
@@ -210,7 +211,7 @@
 }
 
 // cost returns what a placement costs under the rule; lower is better.
-func (c *Core) cost(r *round, j lwstate.Job, reserve lwunit.Resources, w lwstate.Worker) float64 {
+func (c *Core) cost(r *round, j lwstate.Job, reserve lwunit.Resources, w *lwstate.Worker) float64 {
 	switch rule := c.cfg.Rule.(type) {
 	case Weighed:
 		return c.weigh(r, j, reserve, w)
@@ -225,8 +226,8 @@
 }
 
 // leftover is the share of a worker that stays free.
-func leftover(r *round, reserve lwunit.Resources, w lwstate.Worker) float64 {
-	left := r.free[w.Spec.ID].Sub(reserve)
+func leftover(r *round, reserve lwunit.Resources, w *lwstate.Worker) float64 {
+	left := r.free(w.Spec.ID).Sub(reserve)
 	return ratio(int64(left.Millicores), int64(w.Spec.Capacity.Millicores)) + ratio(int64(left.Memory), int64(w.Spec.Capacity.Memory))
 }
 
@@ -246,8 +247,8 @@
 )
 
 // weigh sums the scores. Each is small and says one thing.
-func (c *Core) weigh(r *round, j lwstate.Job, reserve lwunit.Resources, w lwstate.Worker) float64 {
-	d := r.state.Deployment()
+func (c *Core) weigh(r *round, j lwstate.Job, reserve lwunit.Resources, w *lwstate.Worker) float64 {
+	d := r.deploy
 	cost := weightDisturb * d.TailWeight * c.disturbance(r, j, reserve, w)
 	cost += weightPack * d.ThroughputWeight * leftover(r, reserve, w) * ratio(int64(reserve.Millicores), int64(w.Spec.Capacity.Millicores))
 	cost += weightFragment * d.ThroughputWeight * fragments(r, reserve, w)
@@ -259,11 +260,11 @@
 
 // fragments is the number of free accelerators that a task which needs none
 // would make harder to use.
-func fragments(r *round, reserve lwunit.Resources, w lwstate.Worker) float64 {
+func fragments(r *round, reserve lwunit.Resources, w *lwstate.Worker) float64 {
 	if reserve.Accelerators > 0 {
-		return 0.1 * float64(r.free[w.Spec.ID].Accelerators-reserve.Accelerators)
+		return 0.1 * float64(r.free(w.Spec.ID).Accelerators-reserve.Accelerators)
 	}
-	if r.free[w.Spec.ID].Accelerators == 0 {
+	if r.free(w.Spec.ID).Accelerators == 0 {
 		return 0
 	}
 	return ratio(int64(reserve.Millicores), int64(w.Spec.Capacity.Millicores))
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -56,6 +57,10 @@
 	changed  map[lwunit.WorkerID]lwunit.Revision      // when a worker's tasks last changed
 	serving  map[lwunit.WorkerID][]*BackendServer     // backend servers by worker
 	sorted   []lwunit.WorkerID                        // all workers, in order
+
+	deployment *lwticket.DeploymentSpec             // found last; nil after a ticket
+	cacheMu    sync.Mutex                           // guards deployment and reserves, which readers fill
+	reserves   map[lwunit.WorkerID]lwunit.Resources // of services, as asked for; emptied by what may change them
 }
 
 // New returns the empty state.
@@ -113,6 +118,7 @@
 	s.waiting = make(map[lwunit.JobID]map[lwunit.TaskID]*Task)
 	s.changed = make(map[lwunit.WorkerID]lwunit.Revision)
 	s.indexBackends()
+	s.deployment = nil
 	s.sorted = s.sorted[:0]
 	for id := range s.c.Workers {
 		s.sorted = append(s.sorted, id)
@@ -129,6 +135,7 @@
 
 // indexBackends lists the backend servers of each worker. They change seldom.
 func (s *State) indexBackends() {
+	s.reserves = make(map[lwunit.WorkerID]lwunit.Resources)
 	s.serving = make(map[lwunit.WorkerID][]*BackendServer)
 	for _, b := range s.c.Backends {
 		s.serving[b.Worker] = append(s.serving[b.Worker], b)
--- a/internal/control/lwstate/ticket.go
+++ b/internal/control/lwstate/ticket.go
@@ -51,6 +51,8 @@
 		s.c.Objects[o.Key.String()] = &ObjectRecord{Object: o, Ticket: t.Number, Revision: s.c.Revision}
 	}
 	s.c.PolicyRevision = s.c.Revision
+	s.deployment = nil
+	s.reserves = make(map[lwunit.WorkerID]lwunit.Resources)
 	s.c.Tickets[t.Number] = rec
 	s.trimTickets()
 	return *rec
@@ -136,6 +138,16 @@
 // Deployment returns the state of the first deployment by name, or the
 // default.
 func (s *State) Deployment() lwticket.DeploymentSpec {
+	s.cacheMu.Lock()
+	defer s.cacheMu.Unlock()
+	if s.deployment == nil {
+		d := s.findDeployment()
+		s.deployment = &d
+	}
+	return *s.deployment
+}
+
+func (s *State) findDeployment() lwticket.DeploymentSpec {
 	first := ""
 	found := lwticket.DeploymentSpec{TailWeight: 1, ThroughputWeight: 1, EvictionWeight: 1, EvictionBudget: 12, JobRetention: lwunit.Duration(defaultJobRetention)}
 	for key, o := range s.c.Objects {
--- a/internal/control/lwstate/worker.go
+++ b/internal/control/lwstate/worker.go
@@ -25,6 +25,7 @@
 	if w.Incarnation != c.Incarnation {
 		s.dropBackends(c.Spec.ID)
 	}
+	delete(s.reserves, c.Spec.ID)
 	w.Spec, w.Incarnation, w.Lost = c.Spec, c.Incarnation, false
 	return Result{}
 }
@@ -71,6 +72,7 @@
 		s.c.BackendRevision = s.c.Revision
 	}
 	delete(s.serving, w)
+	delete(s.reserves, w)
 }
 
 func (s *State) announceBackend(c AnnounceBackend) Result {
@@ -112,12 +114,18 @@
 // ServiceReserve returns what is kept free on a worker beside its backend
 // servers.
 func (s *State) ServiceReserve(id lwunit.WorkerID) lwunit.Resources {
-	var sum lwunit.Resources
+	s.cacheMu.Lock()
+	defer s.cacheMu.Unlock()
+	sum, ok := s.reserves[id]
+	if ok {
+		return sum
+	}
 	for _, b := range s.serving[id] {
 		if spec, ok := s.Service(s.c.Workers[id].Spec.Region, b.Service); ok {
 			sum = sum.Add(spec.Reserve)
 		}
 	}
+	s.reserves[id] = sum
 	return sum
 }
 
@@ -139,14 +147,23 @@
 	return list
 }
 
-// BackendsOn returns the backend servers of a worker in the order of their
-// names.
-func (s *State) BackendsOn(id lwunit.WorkerID) []BackendServer {
-	list := make([]BackendServer, 0, len(s.serving[id]))
+// EachBackendOn calls f with each backend server of a worker, in the order of
+// their names.
+func (s *State) EachBackendOn(id lwunit.WorkerID, f func(BackendServer)) {
 	for _, b := range s.serving[id] {
-		list = append(list, *b)
+		f(*b)
+	}
+}
+
+// HasBackend reports whether a worker carries a backend server.
+func (s *State) HasBackend(id lwunit.WorkerID) bool { return len(s.serving[id]) > 0 }
+
+// EachWorker calls f with each worker, in the order of their names. The worker
+// must not be changed.
+func (s *State) EachWorker(f func(*Worker)) {
+	for _, id := range s.sorted {
+		f(s.c.Workers[id])
 	}
-	return list
 }
 
 // Backends returns all backend servers in the order of their names.
