Move a growing task before the next measurement would find the worker full

Cause: a task was moved only at 97% of memory; tasks that grow together pass from 94% to over 100% between two measurements. Change: what a task gained between its last two measurements is expected again. Before: TestMemoryGrowthIsActedOnBeforeTheWorkerIsFull fails at 15 of 16 GiB. After: it passes.

--- a/internal/control/lwplacement/placement_test.go
+++ b/internal/control/lwplacement/placement_test.go
@@ -278,8 +278,8 @@
 // quiet is a testing target for helpers whose checks cannot fail here.
 type quiet struct{}
 
-func (quiet) Fail()           {}
-func (quiet) FailNow()        {}
-func (quiet) Log(args ...any) {}
-func (quiet) Name() string    { return "" }
-func (quiet) Helper()         {}
+func (quiet) Fail()        {}
+func (quiet) FailNow()     {}
+func (quiet) Log(...any)   {}
+func (quiet) Name() string { return "" }
+func (quiet) Helper()      {}
--- a/internal/control/lwplacement/size.go
+++ b/internal/control/lwplacement/size.go
@@ -32,23 +32,27 @@
 type sizes struct {
 	classes map[Class]*size
 	latest  map[lwunit.TaskID]lwunit.Resources // last usage of running attempts
+	growth  map[lwunit.TaskID]lwunit.Bytes     // memory gained between the last two measurements
 }
 
 func newSizes() sizes {
-	return sizes{classes: make(map[Class]*size), latest: make(map[lwunit.TaskID]lwunit.Resources)}
+	return sizes{classes: make(map[Class]*size), latest: make(map[lwunit.TaskID]lwunit.Resources), growth: make(map[lwunit.TaskID]lwunit.Bytes)}
 }
 
 // observeUsage learns from one measurement.
 func (c *Core) observeUsage(s *lwstate.State, o UsageSeen) {
 	t, ok := s.Task(o.Task)
 	if !ok || !t.Phase.Held() {
-		delete(c.sizes.latest, o.Task)
+		c.sizes.forget(o.Task)
 		return
 	}
 	j, ok := s.Job(t.Job)
 	if !ok {
 		return
 	}
+	if before, seen := c.sizes.latest[o.Task]; seen {
+		c.sizes.growth[o.Task] = max(0, o.Used.Memory-before.Memory)
+	}
 	c.sizes.latest[o.Task] = o.Used
 	z := c.sizes.classes[classOf(j)]
 	if z == nil {
@@ -61,9 +65,14 @@
 	z.memory = max(float64(o.Used.Memory), z.memory*memoryDecay)
 }
 
+func (z *sizes) forget(id lwunit.TaskID) {
+	delete(z.latest, id)
+	delete(z.growth, id)
+}
+
 // observeEnd learns the run time of an attempt that succeeded.
 func (c *Core) observeEnd(s *lwstate.State, o AttemptEnded) {
-	delete(c.sizes.latest, o.Task)
+	c.sizes.forget(o.Task)
 	t, ok := s.Task(o.Task)
 	if !ok || o.Failed {
 		return
@@ -134,7 +143,8 @@
 	var over lwunit.Bytes
 	for _, t := range r.state.TasksOnWorker(w.Spec.ID) {
 		used, ok := c.sizes.latest[t.ID]
-		memory += max(t.Reserve.Memory, used.Memory)
+		// By the next measurement it will have grown as much again.
+		memory += max(t.Reserve.Memory, used.Memory+c.sizes.growth[t.ID])
 		if !ok || t.Phase == lwstate.TaskStopping {
 			continue
 		}
