--- a/internal/base/lwunit/quantity.go
+++ b/internal/base/lwunit/quantity.go
@@ -38,23 +38,23 @@
 // Unwrap returns the cause.
 func (e *FormatError) Unwrap() error { return e.Cause }
 
-// MarshalJSON writes the size with the largest binary unit that divides it.
+// MarshalJSON writes the size with the largest unit that divides it.
 func (b Bytes) MarshalJSON() ([]byte, error) {
 	return json.Marshal(b.String())
 }
 
-// String returns the size with the largest binary unit that divides it.
+// String returns the size with the largest unit that divides it.
 func (b Bytes) String() string {
-	switch {
-	case b != 0 && b%GiB == 0:
-		return fmt.Sprintf("%dGiB", b/GiB)
-	case b != 0 && b%MiB == 0:
-		return fmt.Sprintf("%dMiB", b/MiB)
-	case b != 0 && b%KiB == 0:
-		return fmt.Sprintf("%dKiB", b/KiB)
-	default:
-		return fmt.Sprintf("%dB", int64(b))
+	units := []struct {
+		size Bytes
+		name string
+	}{{GiB, "GiB"}, {1e9, "GB"}, {MiB, "MiB"}, {1e6, "MB"}, {KiB, "KiB"}, {1e3, "kB"}}
+	for _, u := range units {
+		if b != 0 && b%u.size == 0 {
+			return fmt.Sprintf("%d%s", b/u.size, u.name)
+		}
 	}
+	return fmt.Sprintf("%dB", int64(b))
 }
 
 // UnmarshalJSON reads a string with a unit.
--- a/internal/entry/lwentry/entry.go
+++ b/internal/entry/lwentry/entry.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -75,8 +76,34 @@
 
 	policy   atomic.Pointer[policy]
 	services services
+	teams    teamCounts
 }
 
+// teamCounts counts requests in flight by team, in shards.
+type teamCounts struct {
+	shards [serviceShards]teamShard
+}
+
+type teamShard struct {
+	mu sync.Mutex
+	m  map[lwunit.TeamName]*atomic.Int64
+}
+
+func (t *teamCounts) count(name lwunit.TeamName) *atomic.Int64 {
+	shard := &t.shards[shardOf(string(name))]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.m == nil {
+		shard.m = make(map[lwunit.TeamName]*atomic.Int64)
+	}
+	if shard.m[name] == nil {
+		shard.m[name] = new(atomic.Int64)
+	}
+	return shard.m[name]
+}
+
+func shardOf(name string) uint64 { return xxhash.Sum64String(name) % serviceShards }
+
 // policy is what control last confirmed.
 type policy struct {
 	objects         map[lwticket.Key]lwstate.ObjectRecord
@@ -115,11 +142,7 @@
 }
 
 func (s *services) get(name lwunit.ServiceName, fresh func() *service) *service {
-	var h uint32 = 2166136261
-	for i := range len(name) {
-		h = (h ^ uint32(name[i])) * 16777619
-	}
-	shard := &s.shards[h%serviceShards]
+	shard := &s.shards[shardOf(string(name))]
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	if shard.m == nil {
@@ -307,7 +330,13 @@
 	})
 }
 
-// spec returns the state of a service: of this region, else of all.
+// team returns the state of a team; the zero value sets no limit.
+func (p *policy) team(name lwunit.TeamName) lwticket.TeamSpec {
+	spec, _ := p.objects[lwticket.Key{Kind: lwticket.KindTeam, Name: string(name)}].Object.Spec.(lwticket.TeamSpec)
+	return spec
+}
+
+// service returns the state of a service: of this region, else of all.
 func (p *policy) service(region lwunit.Region, name lwunit.ServiceName) (lwticket.ServiceSpec, bool) {
 	for _, r := range []lwunit.Region{region, ""} {
 		o, ok := p.objects[lwticket.Key{Region: r, Kind: lwticket.KindService, Name: string(name)}]
--- a/internal/entry/lwentry/fault_test.go
+++ b/internal/entry/lwentry/fault_test.go
@@ -388,3 +388,33 @@
 	is.Equal(second.outcome, lwheader.Completed)
 	is.Equal(b.runs(key), 1)
 }
+
+func TestLimitsOfServiceAndTeam(t *testing.T) {
+	b := newBed(t, 1, 1)
+	b.behave(lwstandin.Behaviour{Delay: func() time.Duration { return 300 * time.Millisecond }})
+	number := 1
+	for name, fields := range map[string][2]string{"service": {`"max_concurrent": 2,`, ""}, "team": {"", `"max_concurrent": 2,`}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			number++
+			ticket := fmt.Appendf(nil, `{"number": %d, "author": "test", "objects": [
+				{"kind": "team", "name": "t", "spec": {%s "tokens": [{"role": "caller", "sha256": %q}]}},
+				{"kind": "service", "name": %q, "spec": {%s "team": "t"}}]}`, number, fields[1], lwticket.TokenDigest(callerToken), service, fields[0])
+			is.NoErr(b.Operator().Post(context.Background(), "/v1/tickets", ticket, nil))
+			time.Sleep(500 * time.Millisecond) // in force
+			var mu sync.Mutex
+			statuses := make(map[int]int)
+			var wg sync.WaitGroup
+			for range 6 {
+				wg.Go(func() {
+					a := b.send(0, []byte("x"), "", 5*time.Second)
+					mu.Lock()
+					defer mu.Unlock()
+					statuses[a.status]++
+				})
+			}
+			wg.Wait()
+			is.Equal(statuses, map[int]int{http.StatusOK: 2, http.StatusTooManyRequests: 4})
+		})
+	}
+}
--- a/internal/entry/lwentry/request.go
+++ b/internal/entry/lwentry/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -39,6 +40,7 @@
 	body     []byte
 	deadline time.Time
 	tried    []lwunit.BackendServerID
+	counts   []*atomic.Int64 // of requests in flight, to be lowered at the end
 }
 
 // serveService passes a caller's request to a backend server.
@@ -55,7 +57,7 @@
 		answerFault(w, over)
 		return
 	}
-	defer q.service.inFlight.Add(-1)
+	defer q.leave()
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	if q.unrepeatable() {
@@ -111,16 +113,31 @@
 	return min(d, spec.Timeout.Std()), nil
 }
 
-// admit counts a request in flight unless the service has too many here.
+// admit counts a request in flight unless its service or its team has too many
+// here. Each request that is admitted must leave.
 func (e *Entry) admit(q *request) error {
-	n := q.service.inFlight.Add(1)
-	if q.spec.MaxConcurrent > 0 && n > int64(q.spec.MaxConcurrent) {
-		q.service.inFlight.Add(-1)
-		return &lwfault.Fault{Kind: lwfault.Overloaded, Detail: fmt.Sprintf("service %s has %d requests in flight at this entry", q.name, q.spec.MaxConcurrent), RetryAfter: time.Second}
+	p := e.policy.Load()
+	q.counts = []*atomic.Int64{&q.service.inFlight, e.teams.count(q.team)}
+	limits := []int{q.spec.MaxConcurrent, p.team(q.team).MaxConcurrent}
+	names := []string{"service " + string(q.name), "team " + string(q.team)}
+	for _, n := range q.counts {
+		n.Add(1)
+	}
+	for i, limit := range limits {
+		if limit > 0 && q.counts[i].Load() > int64(limit) {
+			q.leave()
+			return &lwfault.Fault{Kind: lwfault.Overloaded, Detail: fmt.Sprintf("%s has %d requests in flight at this entry", names[i], limit), RetryAfter: time.Second}
+		}
 	}
 	return nil
 }
 
+func (q *request) leave() {
+	for _, n := range q.counts {
+		n.Add(-1)
+	}
+}
+
 // unrepeatable reports whether the request is non-idempotent: by its header,
 // else by the service, whose GET and HEAD requests are always idempotent.
 func (q *request) unrepeatable() bool {
--- /dev/null
+++ b/internal/worker/lwagent/reconcile_test.go
@@ -0,0 +1,96 @@
+package lwagent
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/worker/lwplatform"
+)
+
+var oneCore = lwunit.Resources{Millicores: 1000, Memory: lwunit.GiB}
+
+func assigned(token lwunit.FencingToken, stop lwstate.StopReason, running bool) lwlink.Assignment {
+	return lwlink.Assignment{Task: "t", Token: token, Reserve: oneCore, Stop: stop, Running: running}
+}
+
+func actual(token lwunit.FencingToken, s lwplatform.TaskState) lwplatform.TaskStatus {
+	return lwplatform.TaskStatus{Attempt: lwplatform.Attempt{Task: "t", Token: token}, State: s, Reserve: oneCore}
+}
+
+func TestReconcile(t *testing.T) {
+	type list []lwlink.Assignment
+	type found []lwplatform.TaskStatus
+	at := lwplatform.Attempt{Task: "t", Token: 2}
+	cases := []struct {
+		name    string
+		want    list
+		have    found
+		started bool
+		actions string
+	}{
+		{"a new attempt is started", list{assigned(2, "", false)}, nil, false, "[startTask]"},
+		{"one that was started here is not started again", list{assigned(2, "", false)}, nil, true, "[]"},
+		{"one that ran before this agent is not started again", list{assigned(2, "", true)}, nil, false, "[]"},
+		{"one that runs is adopted", list{assigned(2, "", false)}, found{actual(2, lwplatform.StateRunning)}, false, "[]"},
+		{"an old attempt is stopped before the new one starts", list{assigned(2, "", false)}, found{actual(1, lwplatform.StateRunning)}, false, "[stopTask]"},
+		{"an old attempt that ended makes way", list{assigned(2, "", false)}, found{actual(1, lwplatform.StateStopped)}, false, "[forgetTask startTask]"},
+		{"what is not assigned is stopped", nil, found{actual(2, lwplatform.StateRunning)}, false, "[stopTask]"},
+		{"what ended and is not assigned is forgotten", nil, found{actual(2, lwplatform.StateSucceeded)}, false, "[forgetTask]"},
+		{"an eviction checkpoints", list{assigned(2, lwstate.StopEvict, true)}, found{actual(2, lwplatform.StateRunning)}, false, "[evictTask]"},
+		{"a cancellation stops", list{assigned(2, lwstate.StopCancel, true)}, found{actual(2, lwplatform.StateRunning)}, false, "[stopTask]"},
+		{"a stopped one is not started again", list{assigned(2, lwstate.StopEvict, false)}, nil, false, "[]"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			acts := reconcile(oneCore, c.want, c.have, map[lwplatform.Attempt]bool{at: c.started})
+			is.New(t).Equal(names(acts), c.actions)
+		})
+	}
+	t.Run("nothing starts without room, stops under way included", func(t *testing.T) {
+		other := lwlink.Assignment{Task: "u", Token: 3, Reserve: oneCore}
+		acts := reconcile(oneCore, list{assigned(2, lwstate.StopEvict, true), other}, found{actual(2, lwplatform.StateRunning)}, nil)
+		is.New(t).Equal(names(acts), "[evictTask]")
+	})
+}
+
+func names(acts []action) string {
+	list := make([]string, 0, len(acts))
+	for _, a := range acts {
+		list = append(list, fmt.Sprintf("%T", a)[len("lwagent."):])
+	}
+	return fmt.Sprint(list)
+}
+
+func TestReports(t *testing.T) {
+	at := lwplatform.Attempt{Task: "t", Token: 2}
+	cases := []struct {
+		name    string
+		want    lwlink.Assignment
+		have    []lwplatform.TaskStatus
+		told    lwstate.TaskEvent
+		started bool
+		event   lwstate.TaskEvent
+	}{
+		{"running is told once", assigned(2, "", false), []lwplatform.TaskStatus{actual(2, lwplatform.StateRunning)}, lwstate.EventRunning, true, ""},
+		{"an end is told", assigned(2, "", false), []lwplatform.TaskStatus{actual(2, lwplatform.StateSucceeded)}, lwstate.EventRunning, true, lwstate.EventSucceeded},
+		{"one that vanished was stopped", assigned(2, "", true), nil, "", false, lwstate.EventStopped},
+		{"one that was never started says nothing", assigned(2, "", false), nil, "", false, ""},
+		{"one to be stopped that is not there is stopped", assigned(2, lwstate.StopCancel, false), nil, "", false, lwstate.EventStopped},
+		{"an older attempt does not speak for it", assigned(2, "", false), []lwplatform.TaskStatus{actual(1, lwplatform.StateFailed)}, "", false, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			list := reports([]lwlink.Assignment{c.want}, c.have, map[lwplatform.Attempt]lwstate.TaskEvent{at: c.told}, map[lwplatform.Attempt]bool{at: c.started})
+			got := lwstate.TaskEvent("")
+			if len(list) > 0 {
+				got = list[0].Event
+			}
+			is.New(t).Equal(got, c.event)
+		})
+	}
+}
