Assume eight slots of a server that has not answered yet

Cause: the router took a server that it had not heard of for one with a single slot, so it spilled to none of them (TestStaysHomeUntilLoaded).

--- a/internal/entry/lwroute/route.go
+++ b/internal/entry/lwroute/route.go
@@ -27,18 +27,18 @@
 
 // Config tunes a router.
 type Config struct {
-	Domain        lwunit.FailureDomain
-	Policy        Policy
-	EjectAfter    int           // failures in a row
-	EjectTime     time.Duration // first ejection; doubles with each that follows
-	EjectLongest  time.Duration
-	SlowStart     time.Duration // time in which a new backend server reaches its full share
-	PanicShare    float64       // below this share of usable servers, ejection is ignored
-	SpillAt       float64       // load of the best local server, in slots, from which others are considered
-	LoadLifetime  time.Duration // how long what an agent told of its load is believed
-	CrossDomain   time.Duration // one way; the price of leaving the domain
-	TypicalTime   time.Duration // service time assumed until one was seen
-	LongestMemory time.Duration
+	Domain       lwunit.FailureDomain
+	Policy       Policy
+	EjectAfter   int           // failures in a row
+	EjectTime    time.Duration // first ejection; doubles with each that follows
+	EjectLongest time.Duration
+	SlowStart    time.Duration // time in which a new backend server reaches its full share
+	PanicShare   float64       // below this share of usable servers, ejection is ignored
+	SpillAt      float64       // load of the best local server, in slots, from which others are considered
+	LoadLifetime time.Duration // how long what an agent told of its load is believed
+	CrossDomain  time.Duration // one way; the price of leaving the domain
+	TypicalTime  time.Duration // service time assumed until one was seen
+	TypicalSlots int           // slots assumed until an agent told them
 }
 
 // DefaultConfig returns the settings used in production.
@@ -46,7 +46,7 @@
 	return Config{
 		Domain: d, Policy: PolicyDefault, EjectAfter: 3, EjectTime: time.Second, EjectLongest: 30 * time.Second,
 		SlowStart: 5 * time.Second, PanicShare: 0.3, SpillAt: 0.8, LoadLifetime: 500 * time.Millisecond,
-		CrossDomain: 3 * time.Millisecond, TypicalTime: 20 * time.Millisecond, LongestMemory: time.Minute,
+		CrossDomain: 3 * time.Millisecond, TypicalTime: 20 * time.Millisecond, TypicalSlots: 8,
 	}
 }
 
@@ -267,7 +267,7 @@
 // load is the expected use of a server's slots: what the agent told last, less
 // what this entry had there then, plus what it has there now.
 func (r *Router) load(now time.Time, s *server) float64 {
-	slots := max(1, s.slots)
+	slots := r.slots(s)
 	others := 0
 	if now.Sub(s.toldAt) < r.cfg.LoadLifetime {
 		others = max(0, s.busy+s.queued-s.ownTold)
@@ -275,6 +275,13 @@
 	return float64(others+s.inFlight) / float64(slots) / r.share(now, s)
 }
 
+func (r *Router) slots(s *server) int {
+	if s.slots > 0 {
+		return s.slots
+	}
+	return r.cfg.TypicalSlots
+}
+
 // share rises from a tenth to one while a server is new.
 func (r *Router) share(now time.Time, s *server) float64 {
 	age := now.Sub(s.since)
@@ -291,7 +298,7 @@
 		mean = r.cfg.TypicalTime
 	}
 	load := r.load(now, s)
-	wait := max(0, load-1+1/float64(max(1, s.slots)))
+	wait := max(0, load-1+1/float64(r.slots(s)))
 	return time.Duration(float64(mean) * (1 + wait + 0.1*load))
 }
 
