--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -63,15 +63,15 @@
 	if err != nil {
 		return nil, err
 	}
-	batch, err := lwlink.Decode[[]wireEnvelope](params)
+	w, err := lwlink.Decode[wireBatch](params)
 	if err != nil {
 		return nil, err
 	}
-	for _, w := range batch {
-		e, err := decodeEnvelope(w)
-		if err != nil {
-			return nil, err
-		}
+	batch, err := decodeBatch(w)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range batch {
 		select {
 		case r.events <- event{body: lwreplica.Receive{Envelope: e}}:
 		default:
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -270,13 +270,8 @@
 
 func (r *replica) sendAll(ctx context.Context, list []lwreplica.Envelope) {
 	for _, e := range list {
-		w, err := encodeEnvelope(e)
-		if err != nil {
-			r.log.Error("message not sent", zap.Error(err))
-			continue
-		}
 		if s := r.senderFor(ctx, e.To); s != nil {
-			s.send(w)
+			s.send(e)
 		}
 	}
 }
--- a/internal/control/lwcontrol/transport.go
+++ b/internal/control/lwcontrol/transport.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
@@ -23,71 +24,107 @@
 	replicaSent    = lwmetric.Counter("replica_messages_sent_total")
 )
 
+// wireBatch carries envelopes in one notification: JSON-RPC around it, CBOR
+// within, since log entries are bytes and would grow in JSON at each layer.
+type wireBatch struct {
+	Envelopes []byte `json:"envelopes"`
+}
+
 // wireEnvelope is an Envelope on the wire.
 type wireEnvelope struct {
-	From lwunit.ReplicaID `json:"from"`
-	To   lwunit.ReplicaID `json:"to"`
-	Kind string           `json:"kind"`
-	Body json.RawMessage  `json:"body"`
+	From lwunit.ReplicaID `cbor:"1,keyasint"`
+	To   lwunit.ReplicaID `cbor:"2,keyasint"`
+	Kind messageKind      `cbor:"3,keyasint"`
+	Body cbor.RawMessage  `cbor:"4,keyasint"`
 }
 
-func encodeEnvelope(e lwreplica.Envelope) (wireEnvelope, error) {
-	kind := ""
-	switch e.Body.(type) {
+type messageKind uint8
+
+const (
+	kindVoteRequest messageKind = iota + 1
+	kindVoteResponse
+	kindAppendRequest
+	kindAppendResponse
+	kindSnapshotChunk
+	kindSnapshotAck
+	kindTimeoutNow
+)
+
+func kindOf(m lwreplica.Message) messageKind {
+	switch m.(type) {
 	case lwreplica.VoteRequest:
-		kind = "vote_request"
+		return kindVoteRequest
 	case lwreplica.VoteResponse:
-		kind = "vote_response"
+		return kindVoteResponse
 	case lwreplica.AppendRequest:
-		kind = "append_request"
+		return kindAppendRequest
 	case lwreplica.AppendResponse:
-		kind = "append_response"
+		return kindAppendResponse
 	case lwreplica.SnapshotChunk:
-		kind = "snapshot_chunk"
+		return kindSnapshotChunk
 	case lwreplica.SnapshotAck:
-		kind = "snapshot_ack"
-	case lwreplica.TimeoutNow:
-		kind = "timeout_now"
+		return kindSnapshotAck
+	default:
+		return kindTimeoutNow
 	}
-	body, err := json.Marshal(e.Body)
+}
+
+func encodeBatch(batch []lwreplica.Envelope) (wireBatch, error) {
+	list := make([]wireEnvelope, 0, len(batch))
+	for _, e := range batch {
+		body, err := cbor.Marshal(e.Body)
+		if err != nil {
+			return wireBatch{}, fmt.Errorf("encode message: %w", err)
+		}
+		list = append(list, wireEnvelope{e.From, e.To, kindOf(e.Body), body})
+	}
+	data, err := cbor.Marshal(list)
 	if err != nil {
-		return wireEnvelope{}, fmt.Errorf("encode %s: %w", kind, err)
+		return wireBatch{}, fmt.Errorf("encode batch: %w", err)
 	}
-	return wireEnvelope{e.From, e.To, kind, body}, nil
+	return wireBatch{data}, nil
 }
 
-func decodeEnvelope(w wireEnvelope) (lwreplica.Envelope, error) {
-	body, err := decodeMessage(w)
-	if err != nil {
-		return lwreplica.Envelope{}, fmt.Errorf("decode %s: %w", w.Kind, err)
+func decodeBatch(w wireBatch) ([]lwreplica.Envelope, error) {
+	var list []wireEnvelope
+	if err := cbor.Unmarshal(w.Envelopes, &list); err != nil {
+		return nil, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "batch of messages", Cause: err}
 	}
-	return lwreplica.Envelope{From: w.From, To: w.To, Body: body}, nil
+	batch := make([]lwreplica.Envelope, 0, len(list))
+	for _, e := range list {
+		body, err := decodeMessage(e)
+		if err != nil {
+			return nil, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "message", Cause: err}
+		}
+		batch = append(batch, lwreplica.Envelope{From: e.From, To: e.To, Body: body})
+	}
+	return batch, nil
 }
 
 func decodeMessage(w wireEnvelope) (lwreplica.Message, error) {
 	switch w.Kind {
-	case "vote_request":
+	case kindVoteRequest:
 		return decodeAs[lwreplica.VoteRequest](w.Body)
-	case "vote_response":
+	case kindVoteResponse:
 		return decodeAs[lwreplica.VoteResponse](w.Body)
-	case "append_request":
+	case kindAppendRequest:
 		return decodeAs[lwreplica.AppendRequest](w.Body)
-	case "append_response":
+	case kindAppendResponse:
 		return decodeAs[lwreplica.AppendResponse](w.Body)
-	case "snapshot_chunk":
+	case kindSnapshotChunk:
 		return decodeAs[lwreplica.SnapshotChunk](w.Body)
-	case "snapshot_ack":
+	case kindSnapshotAck:
 		return decodeAs[lwreplica.SnapshotAck](w.Body)
-	case "timeout_now":
+	case kindTimeoutNow:
 		return decodeAs[lwreplica.TimeoutNow](w.Body)
 	default:
-		return nil, lwfault.New(lwfault.Invalid, "unknown message kind %q", w.Kind)
+		return nil, lwfault.New(lwfault.Invalid, "unknown message kind %d", w.Kind)
 	}
 }
 
-func decodeAs[M lwreplica.Message](body json.RawMessage) (lwreplica.Message, error) {
+func decodeAs[M lwreplica.Message](body cbor.RawMessage) (lwreplica.Message, error) {
 	var m M
-	if err := json.Unmarshal(body, &m); err != nil {
+	if err := cbor.Unmarshal(body, &m); err != nil {
 		return nil, err
 	}
 	return m, nil
@@ -97,16 +134,16 @@
 // the protocol tolerates; it never holds back the other replicas.
 type sender struct {
 	peer  *lwrpc.Peer
-	queue chan wireEnvelope
+	queue chan lwreplica.Envelope
 }
 
 func newSender(ctx context.Context, peer *lwrpc.Peer) *sender {
-	s := &sender{peer: peer, queue: make(chan wireEnvelope, sendQueueLength)}
+	s := &sender{peer: peer, queue: make(chan lwreplica.Envelope, sendQueueLength)}
 	go s.run(ctx)
 	return s
 }
 
-func (s *sender) send(e wireEnvelope) {
+func (s *sender) send(e lwreplica.Envelope) {
 	select {
 	case s.queue <- e:
 	default:
@@ -125,8 +162,8 @@
 	}
 }
 
-func (s *sender) gather(first wireEnvelope) []wireEnvelope {
-	batch := []wireEnvelope{first}
+func (s *sender) gather(first lwreplica.Envelope) []lwreplica.Envelope {
+	batch := []lwreplica.Envelope{first}
 	for len(batch) < sendBatch {
 		select {
 		case e := <-s.queue:
@@ -138,8 +175,12 @@
 	return batch
 }
 
-func (s *sender) deliver(ctx context.Context, batch []wireEnvelope) {
-	if err := s.peer.Notify(ctx, methodReplica, batch); err != nil {
+func (s *sender) deliver(ctx context.Context, batch []lwreplica.Envelope) {
+	w, err := encodeBatch(batch)
+	if err == nil {
+		err = s.peer.Notify(ctx, methodReplica, w)
+	}
+	if err != nil {
 		replicaDropped.Add(int64(len(batch)))
 		return
 	}
