--- a/internal/command/lwcommand/job_list.go
+++ b/internal/command/lwcommand/job_list.go
@@ -21,12 +21,7 @@
 // runList runs a verb that shows one list of the API.
 func runList[T any](args []string, io streams, name, path string, rows func([]T) table) error {
 	var r remote
-	p := newParser(name)
-	r.flags(p)
-	if err := parse(p, args); err != nil {
-		return err
-	}
-	c, err := r.client()
+	c, err := r.connect(name, args, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/command/lwcommand/job_show.go
+++ b/internal/command/lwcommand/job_show.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/url"
 
+	"github.com/integrii/flaggy"
+
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 )
 
@@ -24,13 +26,9 @@
 func runJobShow(args []string, io streams) error {
 	var r remote
 	var job string
-	p := newParser("job show")
-	p.AddPositionalValue(&job, "job", 1, true, "job id")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
-		return err
-	}
-	c, err := r.client()
+	c, err := r.connect("job show", args, func(p *flaggy.Parser) {
+		p.AddPositionalValue(&job, "job", 1, true, "job id")
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/command/lwcommand/job_submit.go
+++ b/internal/command/lwcommand/job_submit.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strconv"
 
+	"github.com/integrii/flaggy"
+
 	"github.com/tailscale/hujson"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -27,19 +29,15 @@
 func runJobSubmit(args []string, io streams) error {
 	var r remote
 	var file string
-	p := newParser("job submit")
-	p.String(&file, "f", "file", "the job")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
+	c, err := r.connect("job submit", args, func(p *flaggy.Parser) {
+		p.String(&file, "f", "file", "the job")
+	})
+	if err != nil {
 		return err
 	}
 	if file == "" {
 		return &usageError{"--file is required"}
 	}
-	c, err := r.client()
-	if err != nil {
-		return err
-	}
 	data, err := readDocument(file)
 	if err != nil {
 		return err
--- a/internal/command/lwcommand/parse.go
+++ b/internal/command/lwcommand/parse.go
@@ -60,7 +60,17 @@
 	p.String(&r.output, "o", "output", "table or json")
 }
 
-func (r *remote) client() (*lwadmin.Client, error) {
+// connect parses the flags of a verb, its own and the common ones, and returns
+// a client for the entry that they name.
+func (r *remote) connect(name string, args []string, own func(*flaggy.Parser)) (*lwadmin.Client, error) {
+	p := newParser(name)
+	if own != nil {
+		own(p)
+	}
+	r.flags(p)
+	if err := parse(p, args); err != nil {
+		return nil, err
+	}
 	if r.output != outputTable && r.output != outputJSON {
 		return nil, &usageError{"--output must be table or json"}
 	}
--- a/internal/command/lwcommand/status.go
+++ b/internal/command/lwcommand/status.go
@@ -26,12 +26,7 @@
 
 func runStatus(args []string, io streams) error {
 	var r remote
-	p := newParser("status")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
-		return err
-	}
-	c, err := r.client()
+	c, err := r.connect("status", args, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/command/lwcommand/ticket_apply.go
+++ b/internal/command/lwcommand/ticket_apply.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 
+	"github.com/integrii/flaggy"
+
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
@@ -28,13 +30,9 @@
 func runTicketApply(args []string, io streams) error {
 	var r remote
 	var file string
-	p := newParser("ticket apply")
-	p.String(&file, "f", "file", "the ticket")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
-		return err
-	}
-	c, err := r.client()
+	c, err := r.connect("ticket apply", args, func(p *flaggy.Parser) {
+		p.String(&file, "f", "file", "the ticket")
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/command/lwcommand/ticket_diff.go
+++ b/internal/command/lwcommand/ticket_diff.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/integrii/flaggy"
+
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 )
@@ -34,13 +36,9 @@
 func runTicketDiff(args []string, io streams) error {
 	var r remote
 	var file string
-	p := newParser("ticket diff")
-	p.String(&file, "f", "file", "the ticket")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
-		return err
-	}
-	c, err := r.client()
+	c, err := r.connect("ticket diff", args, func(p *flaggy.Parser) {
+		p.String(&file, "f", "file", "the ticket")
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/command/lwcommand/ticket_list.go
+++ b/internal/command/lwcommand/ticket_list.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 
+	"github.com/integrii/flaggy"
+
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 )
 
@@ -20,13 +22,9 @@
 func runTicketList(args []string, io streams) error {
 	var r remote
 	limit := 20
-	p := newParser("ticket list")
-	p.Int(&limit, "n", "limit", "at most this many")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
-		return err
-	}
-	c, err := r.client()
+	c, err := r.connect("ticket list", args, func(p *flaggy.Parser) {
+		p.Int(&limit, "n", "limit", "at most this many")
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/command/lwcommand/ticket_status.go
+++ b/internal/command/lwcommand/ticket_status.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strconv"
 
+	"github.com/integrii/flaggy"
+
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 )
@@ -30,19 +32,15 @@
 func runTicketStatus(args []string, io streams) error {
 	var r remote
 	var number string
-	p := newParser("ticket status")
-	p.AddPositionalValue(&number, "number", 1, true, "ticket number")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
+	c, err := r.connect("ticket status", args, func(p *flaggy.Parser) {
+		p.AddPositionalValue(&number, "number", 1, true, "ticket number")
+	})
+	if err != nil {
 		return err
 	}
 	if _, err := strconv.ParseUint(number, 10, 64); err != nil {
 		return &usageError{"the ticket number must be a number"}
 	}
-	c, err := r.client()
-	if err != nil {
-		return err
-	}
 	var st ticketStatus
 	if err := c.Get(context.Background(), "/v1/tickets/"+number, &st); err != nil {
 		return err
--- a/internal/command/lwcommand/worker_drain.go
+++ b/internal/command/lwcommand/worker_drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/url"
+
+	"github.com/integrii/flaggy"
 )
 
 var workerDrainVerb = &verb{
@@ -21,13 +23,9 @@
 func runDrain(args []string, io streams, action string) error {
 	var r remote
 	var worker string
-	p := newParser("worker " + action)
-	p.AddPositionalValue(&worker, "worker", 1, true, "worker id")
-	r.flags(p)
-	if err := parse(p, args); err != nil {
-		return err
-	}
-	c, err := r.client()
+	c, err := r.connect("worker "+action, args, func(p *flaggy.Parser) {
+		p.AddPositionalValue(&worker, "worker", 1, true, "worker id")
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -290,66 +290,6 @@
 	return nil
 }
 
-// apply changes the state by what was committed and answers those who wait.
-func (r *replica) apply(out lwreplica.Output) {
-	if out.Snapshot == nil && len(out.Committed) == 0 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if out.Snapshot != nil {
-		r.restore(*out.Snapshot)
-	}
-	for _, e := range out.Committed {
-		r.applyEntry(e)
-	}
-	close(r.changed)
-	r.changed = make(chan struct{})
-}
-
-func (r *replica) restore(s lwreplica.Snapshot) {
-	state, err := lwstate.Restore(s.Data)
-	if err != nil {
-		r.log.Fatal("snapshot from the leader does not decode", zap.Error(err))
-	}
-	state.SkipTo(lwunit.Revision(s.Index))
-	r.state = state
-	r.applied, r.lastSnap = s.Index, s.Index
-	r.log.Info("state replaced by a snapshot", zap.Uint64("index", uint64(s.Index)))
-}
-
-func (r *replica) applyEntry(e lwreplica.Entry) {
-	if e.Index <= r.applied {
-		return
-	}
-	r.applied = e.Index
-	var res lwstate.Result
-	if e.Kind == lwreplica.EntryCommand {
-		cmd, at, err := lwstate.DecodeCommand(e.Data)
-		if err != nil {
-			// Every replica must take the same step; one that cannot read a
-			// committed command must not guess.
-			r.log.Fatal("committed command does not decode", zap.Uint64("index", uint64(e.Index)), zap.Error(err))
-		}
-		res = r.state.Apply(lwunit.Revision(e.Index), at, cmd)
-		appliedTotal.Add(1)
-	} else {
-		r.state.SkipTo(lwunit.Revision(e.Index))
-	}
-	w := r.atIndex[e.Index]
-	if w == nil {
-		return
-	}
-	delete(r.atIndex, e.Index)
-	if w.term != e.Term {
-		w.finish(lwfault.New(lwfault.Unavailable, "leadership changed; the command was replaced"))
-		return
-	}
-	w.res, w.rev = res, lwunit.Revision(e.Index)
-	commitLatency.Observe(time.Since(w.start))
-	w.finish(nil)
-}
-
 // publish lets the rest of the process see the core, and takes a snapshot
 // when enough was applied.
 func (r *replica) publish() {
@@ -394,24 +334,6 @@
 	}
 }
 
-func (r *replica) takeSnapshot() {
-	r.mu.RLock()
-	data, err := r.state.Snapshot()
-	r.mu.RUnlock()
-	if err != nil {
-		r.log.Error("snapshot failed", zap.Error(err))
-		return
-	}
-	term, _ := r.core.TermAt(r.applied)
-	s := lwreplica.Snapshot{Index: r.applied, Term: term, Membership: r.core.MembershipAt(r.applied), Data: data}
-	if err := r.wal.SaveSnapshot(s, r.core.EntriesAfter(r.applied)); err != nil {
-		r.log.Fatal("snapshot not saved", zap.Error(err))
-	}
-	r.core.Step(r.now(), lwreplica.Compact{Snapshot: s})
-	r.lastSnap = r.applied
-	snapshots.Add(1)
-}
-
 func (r *replica) abandon(err error) {
 	fault := &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "this control replica stops", Cause: err}
 	for _, w := range r.waiters {
@@ -436,80 +358,3 @@
 	}
 	return f
 }
-
-// submit queues an event and waits for its waiter.
-func (r *replica) submit(ctx context.Context, build func(id uint64) lwreplica.Event) (*waiter, error) {
-	w := newWaiter()
-	r.mu.Lock()
-	r.nextID++
-	id := r.nextID
-	r.mu.Unlock()
-	select {
-	case r.events <- event{build(id), id, w}:
-	default:
-		return nil, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's queue is full", RetryAfter: time.Second}
-	}
-	select {
-	case <-w.done:
-		return w, w.err
-	case <-ctx.Done():
-		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no quorum answered in time; the command may or may not be accepted", Cause: ctx.Err()}
-	}
-}
-
-// propose commits a command and returns its result.
-func (r *replica) propose(ctx context.Context, c lwstate.Command) (lwunit.Revision, lwstate.Result, error) {
-	if r.full.Load() {
-		return 0, lwstate.Result{}, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's disk is nearly full", RetryAfter: time.Minute}
-	}
-	data, err := lwstate.EncodeCommand(c, lwunit.Millis(time.Now().UnixMilli()))
-	if err != nil {
-		return 0, lwstate.Result{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.Propose{ID: id, Data: data} })
-	if err != nil {
-		return 0, lwstate.Result{}, err
-	}
-	return w.rev, w.res, nil
-}
-
-// confirm returns an index that a quorum has confirmed as committed.
-func (r *replica) confirm(ctx context.Context) (lwreplica.Index, error) {
-	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.ReadIndex{ID: id} })
-	if err != nil {
-		return 0, err
-	}
-	return w.index, nil
-}
-
-// waitApplied waits until the state includes index i.
-func (r *replica) waitApplied(ctx context.Context, i lwreplica.Index) error {
-	for {
-		r.mu.RLock()
-		applied, changed := r.applied, r.changed
-		r.mu.RUnlock()
-		if applied >= i {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "this replica lags", Cause: ctx.Err()}
-		}
-	}
-}
-
-func (r *replica) current() view {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.view
-}
-
-// read runs f on the state under the read lock.
-func (r *replica) read(f func(*lwstate.State)) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	f(r.state)
-}
--- /dev/null
+++ b/internal/control/lwcontrol/submit.go
@@ -0,0 +1,88 @@
+package lwcontrol
+
+import (
+	"context"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+)
+
+// submit queues an event and waits for its waiter.
+func (r *replica) submit(ctx context.Context, build func(id uint64) lwreplica.Event) (*waiter, error) {
+	w := newWaiter()
+	r.mu.Lock()
+	r.nextID++
+	id := r.nextID
+	r.mu.Unlock()
+	select {
+	case r.events <- event{build(id), id, w}:
+	default:
+		return nil, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's queue is full", RetryAfter: time.Second}
+	}
+	select {
+	case <-w.done:
+		return w, w.err
+	case <-ctx.Done():
+		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no quorum answered in time; the command may or may not be accepted", Cause: ctx.Err()}
+	}
+}
+
+// propose commits a command and returns its result.
+func (r *replica) propose(ctx context.Context, c lwstate.Command) (lwunit.Revision, lwstate.Result, error) {
+	if r.full.Load() {
+		return 0, lwstate.Result{}, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's disk is nearly full", RetryAfter: time.Minute}
+	}
+	data, err := lwstate.EncodeCommand(c, lwunit.Millis(time.Now().UnixMilli()))
+	if err != nil {
+		return 0, lwstate.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.Propose{ID: id, Data: data} })
+	if err != nil {
+		return 0, lwstate.Result{}, err
+	}
+	return w.rev, w.res, nil
+}
+
+// confirm returns an index that a quorum has confirmed as committed.
+func (r *replica) confirm(ctx context.Context) (lwreplica.Index, error) {
+	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.ReadIndex{ID: id} })
+	if err != nil {
+		return 0, err
+	}
+	return w.index, nil
+}
+
+// waitApplied waits until the state includes index i.
+func (r *replica) waitApplied(ctx context.Context, i lwreplica.Index) error {
+	for {
+		r.mu.RLock()
+		applied, changed := r.applied, r.changed
+		r.mu.RUnlock()
+		if applied >= i {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "this replica lags", Cause: ctx.Err()}
+		}
+	}
+}
+
+func (r *replica) current() view {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.view
+}
+
+// read runs f on the state under the read lock.
+func (r *replica) read(f func(*lwstate.State)) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	f(r.state)
+}
