Share confirmation rounds, fold finished jobs, jitter watchers

Cause: each watch asked the leader for its own confirmation, so the leader's load grew with the nodes; a week of finished tasks would be most of the state; watchers that lost one replica returned at one moment. Change: reads that wait at one time share one round; an hour after a job has finished its tasks are replaced by sums on the job, which stays listed for job_retention; jittered watch retries. After: at most one round at a time for each replica.

--- a/internal/command/lwcommand/bench_capacity.go
+++ b/internal/command/lwcommand/bench_capacity.go
@@ -22,7 +22,7 @@
 
   --largest N     most agents to start (default 400)
   --seconds N     length of each measurement (default 20)
-  --part TEXT     agents, cores, commits or all (default all)
+  --part TEXT     agents, cores, commits, syncs or all (default all)
   --plot FILE     write the slopes as an SVG plot
   --output FORM   table or json (default table)`,
 	run: runBenchCapacity,
@@ -33,6 +33,7 @@
 	Agents  []lwcapacity.Sample       `json:"agents,omitempty"`
 	Cores   []lwcapacity.CoreSample   `json:"cores,omitempty"`
 	Commits []lwcapacity.CommitSample `json:"commits,omitempty"`
+	Syncs   *lwcapacity.SyncSample    `json:"syncs,omitempty"`
 }
 
 func runBenchCapacity(args []string, io streams) error {
@@ -85,6 +86,13 @@
 			}
 		}
 	}
+	if wants("syncs") {
+		s, err := lwcapacity.MeasureSyncs(min(window, 5*time.Second), zap.NewNop())
+		if err != nil {
+			return rep, err
+		}
+		rep.Syncs = &s
+	}
 	if !wants("agents") {
 		return rep, nil
 	}
@@ -138,5 +146,9 @@
 			})
 		}
 	}
+	if rep.Syncs != nil {
+		t = append(t, []string{}, []string{"LEASE RENEWALS/S", "CPU EACH, BOTH SIDES"})
+		t = append(t, []string{fmt.Sprintf("%.0f", rep.Syncs.PerSecond), rep.Syncs.CPU.Round(time.Microsecond).String()})
+	}
 	return t.write(io)
 }
--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -123,30 +122,6 @@
 	return n.leader.sync(ctx, r, s, m)
 }
 
-// confirmed waits until this replica's state includes everything that was
-// committed when the call began, as a quorum confirms.
-func (n *Node) confirmed(ctx context.Context, r *replica) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	index, err := r.confirm(ctx)
-	if f := lwfault.As(err); err != nil && f.Kind == lwfault.NotLeader {
-		index, err = n.askLeader(ctx, f.Leader)
-	}
-	if err != nil {
-		return fmt.Errorf("confirm with a quorum: %w", err)
-	}
-	return r.waitApplied(ctx, index)
-}
-
-func (n *Node) askLeader(ctx context.Context, address string) (lwreplica.Index, error) {
-	if address == "" {
-		return 0, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no leader is known", RetryAfter: time.Second}
-	}
-	var index lwreplica.Index
-	err := n.endpoint.Peer(address).Call(ctx, methodConfirm, struct{}{}, &index)
-	return index, err
-}
-
 // onWatch answers when something changed after what the node has, or after
 // its longest wait. A process with no memory asks from revision 0 and so
 // gets the state itself, however many changes it missed.
@@ -161,7 +136,7 @@
 	}
 	n.watchers.saw(w)
 	n.waitChange(ctx, r, w)
-	if err := n.confirmed(ctx, r); err != nil {
+	if err := n.confirmer.confirmed(ctx, r); err != nil {
 		return nil, err
 	}
 	var p lwlink.Policy
@@ -221,7 +196,7 @@
 	if v := r.current(); v.role != lwreplica.Leader {
 		return nil, &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddr}
 	}
-	if err := n.confirmed(ctx, r); err != nil {
+	if err := n.confirmer.confirmed(ctx, r); err != nil {
 		return nil, err
 	}
 	var res lwlink.QueryReply
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -54,11 +54,12 @@
 	mu      sync.RWMutex
 	replica *replica // nil until the node belongs to a group
 
-	initial  chan lwreplica.Membership // an accepted init
-	watchers *watchers
-	leader   *leader
-	cancel   context.CancelFunc
-	done     chan error
+	initial   chan lwreplica.Membership // an accepted init
+	watchers  *watchers
+	leader    *leader
+	confirmer *confirmer
+	cancel    context.CancelFunc
+	done      chan error
 }
 
 // Start opens the data folder and begins to serve.
@@ -82,6 +83,7 @@
 		initial: make(chan lwreplica.Membership, 1), watchers: newWatchers(), cancel: cancel, done: make(chan error, 1),
 	}
 	n.leader = newLeader(n)
+	n.confirmer = &confirmer{node: n}
 	n.handle()
 	go func() {
 		n.done <- n.run(ctx)
--- a/internal/control/lwstate/claim.go
+++ b/internal/control/lwstate/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
-	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
 
 func (k ClaimKey) text() string {
@@ -71,19 +70,37 @@
 	}
 	keep := s.Deployment().JobRetention.Std()
 	for id, j := range s.c.Jobs {
-		if j.Phase.Final() && j.Left == 0 && j.Finished.Add(keep) <= s.c.Clock {
-			s.forgetJob(id)
+		if !j.Phase.Final() || j.Left > 0 {
+			continue
+		}
+		if s.foldable(j) {
+			s.fold(j)
+		}
+		if j.Finished.Add(keep) <= s.c.Clock {
+			delete(s.c.Jobs, id)
 		}
 	}
 	return Result{}
 }
 
-func (s *State) forgetJob(id lwunit.JobID) {
-	for _, task := range s.jobTasks[id] {
-		delete(s.c.Tasks, task)
+// foldable reports whether a finished job's tasks need no longer be listed.
+func (s *State) foldable(j *Job) bool {
+	return !j.Folded && j.Phase.Final() && j.Left == 0 && j.Finished.Add(taskRetention) <= s.c.Clock
+}
+
+// fold replaces the tasks of a finished job by their sums. Tasks are most of
+// the state's size, and a week of them would not fit.
+func (s *State) fold(j *Job) {
+	for _, id := range s.jobTasks[j.Spec.ID] {
+		t := s.c.Tasks[id]
+		j.Attempts += t.Attempts
+		j.Failures += t.Failures
+		j.Evictions += t.Evictions
+		j.Losses += t.Losses
+		delete(s.c.Tasks, id)
 	}
-	delete(s.jobTasks, id)
-	delete(s.c.Jobs, id)
+	delete(s.jobTasks, j.Spec.ID)
+	j.Folded = true
 }
 
 // NeedsSweep reports whether a sweep would remove anything.
@@ -95,7 +112,7 @@
 	}
 	keep := s.Deployment().JobRetention.Std()
 	for _, j := range s.c.Jobs {
-		if j.Phase.Final() && j.Left == 0 && j.Finished.Add(keep) <= s.c.Clock {
+		if s.foldable(j) || (j.Phase.Final() && j.Left == 0 && j.Finished.Add(keep) <= s.c.Clock) {
 			return true
 		}
 	}
--- a/internal/control/lwstate/model.go
+++ b/internal/control/lwstate/model.go
@@ -92,6 +92,14 @@
 	Submitted lwunit.Millis `json:"submitted"`
 	Finished  lwunit.Millis `json:"finished,omitempty"`
 	Left      int           `json:"left"` // tasks that are not final
+
+	// Folded is set once the tasks are no longer listed one by one; the sums
+	// below are over all of them.
+	Folded    bool `json:"folded,omitempty"`
+	Attempts  int  `json:"attempts,omitempty"`
+	Failures  int  `json:"failures,omitempty"`
+	Evictions int  `json:"evictions,omitempty"`
+	Losses    int  `json:"losses,omitempty"`
 }
 
 // Task is one task of a job.
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -20,6 +20,7 @@
 	// than all of them is refused.
 	ticketsKept         = 20000
 	defaultJobRetention = 7 * 24 * time.Hour
+	taskRetention       = time.Hour // of the tasks of a finished job
 	maxClockStep        = lwunit.Millis(time.Hour / time.Millisecond)
 	keyFutureAllowance  = 5 * time.Minute
 )
--- a/internal/control/lwstate/state_test.go
+++ b/internal/control/lwstate/state_test.go
@@ -217,6 +217,33 @@
 	})
 }
 
+func TestFinishedJobIsFoldedThenForgotten(t *testing.T) {
+	is := is.New(t)
+	d := newDriver()
+	is.NoErr(d.apply(ticket(1, "aiko", team)).Err)
+	spec := lwstate.JobSpec{ID: "j", Team: "t", Program: "p", Tasks: 3, Needs: lwunit.Resources{Millicores: 1, Memory: 1}}
+	is.NoErr(d.apply(lwstate.SubmitJob{Spec: spec}).Err)
+	is.NoErr(d.apply(lwstate.CancelJob{Job: "j"}).Err)
+	is.Equal(len(d.s.TasksOfJob("j")), 3)
+	hours := func(n int) {
+		for range n { // the clock moves at most an hour a step
+			d.clock = d.clock.Add(time.Hour)
+			d.apply(lwstate.Sweep{})
+		}
+	}
+	hours(2)
+	j, ok := d.s.Job("j")
+	is.True(ok && j.Folded && j.Phase == lwstate.JobCancelled)
+	is.Equal(len(d.s.TasksOfJob("j")), 0)
+	is.Equal(d.apply(lwstate.SubmitJob{Spec: spec}).Job.Phase, lwstate.JobCancelled) // a resend is still known
+	hours(7*24 - 3)
+	_, ok = d.s.Job("j")
+	is.True(ok)
+	hours(3)
+	_, ok = d.s.Job("j")
+	is.True(!ok)
+}
+
 // machine draws commands at random and keeps the books that the properties
 // are checked against.
 type machine struct {
--- a/internal/entry/lwentry/entry.go
+++ b/internal/entry/lwentry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -239,7 +240,7 @@
 			e.log.Debug("policy not refreshed", zap.Error(err))
 			select {
 			case <-ctx.Done():
-			case <-time.After(watchRetry):
+			case <-time.After(watchRetry/2 + rand.N(watchRetry)): // jittered: many may have lost one replica
 			}
 		}
 	}
--- a/internal/worker/lwagent/agent.go
+++ b/internal/worker/lwagent/agent.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -144,7 +145,7 @@
 		if err := a.watchOnce(ctx); err != nil {
 			select {
 			case <-ctx.Done():
-			case <-time.After(watchRetry):
+			case <-time.After(watchRetry/2 + rand.N(watchRetry)): // jittered: many may have lost one replica
 			}
 		}
 	}
