--- a/internal/command/lwcommand/bench_capacity.go
+++ b/internal/command/lwcommand/bench_capacity.go
@@ -22,7 +22,7 @@
 
   --largest N     most agents to start (default 400)
   --seconds N     length of each measurement (default 20)
-  --part TEXT     agents, cores, commits, syncs or all (default all)
+  --part TEXT     agents, cores, commits, syncs, history or all (default all)
   --plot FILE     write the slopes as an SVG plot
   --output FORM   table or json (default table)`,
 	run: runBenchCapacity,
@@ -34,6 +34,7 @@
 	Cores   []lwcapacity.CoreSample   `json:"cores,omitempty"`
 	Commits []lwcapacity.CommitSample `json:"commits,omitempty"`
 	Syncs   *lwcapacity.SyncSample    `json:"syncs,omitempty"`
+	History *lwcapacity.HistorySample `json:"history,omitempty"`
 }
 
 func runBenchCapacity(args []string, io streams) error {
@@ -86,6 +87,13 @@
 			}
 		}
 	}
+	if wants("history") {
+		s, err := lwcapacity.MeasureHistory()
+		if err != nil {
+			return rep, err
+		}
+		rep.History = &s
+	}
 	if wants("syncs") {
 		s, err := lwcapacity.MeasureSyncs(min(window, 5*time.Second), zap.NewNop())
 		if err != nil {
@@ -150,5 +158,9 @@
 		t = append(t, []string{}, []string{"LEASE RENEWALS/S", "CPU EACH, BOTH SIDES"})
 		t = append(t, []string{fmt.Sprintf("%.0f", rep.Syncs.PerSecond), rep.Syncs.CPU.Round(time.Microsecond).String()})
 	}
+	if h := rep.History; h != nil {
+		t = append(t, []string{}, []string{"JOBS KEPT", "STATE MIB", "SNAPSHOT MIB", "ENCODE", "RESTORE"})
+		t = append(t, []string{fmt.Sprint(h.Jobs), fmt.Sprintf("%.1f", float64(h.StateBytes)/(1<<20)), fmt.Sprintf("%.1f", float64(h.Snapshot)/(1<<20)), h.SnapshotIn.String(), h.RestoreIn.String()})
+	}
 	return t.write(io)
 }
