--- a/internal/control/lwcontrol/apply.go
+++ b/internal/control/lwcontrol/apply.go
@@ -71,20 +71,46 @@
 	w.finish(nil)
 }
 
+// writtenSnapshot is a snapshot that became durable in the background.
+type writtenSnapshot struct {
+	snapshot lwreplica.Snapshot
+	segment  uint64 // first that counts beside it
+	err      error
+}
+
+// takeSnapshot copies the state and encodes and writes the copy in the
+// background: at the planned size that takes as long as an election timeout,
+// in which a leader must not be silent.
 func (r *replica) takeSnapshot() {
-	r.mu.RLock()
-	data, err := r.state.Snapshot()
-	r.mu.RUnlock()
+	segment, err := r.wal.BeginSnapshot(r.core.EntriesAfter(r.applied))
 	if err != nil {
-		r.log.Error("snapshot failed", zap.Error(err))
-		return
+		r.log.Fatal("snapshot not begun", zap.Error(err))
 	}
+	r.mu.RLock()
+	state := r.state.Clone()
+	r.mu.RUnlock()
 	term, _ := r.core.TermAt(r.applied)
-	s := lwreplica.Snapshot{Index: r.applied, Term: term, Membership: r.core.MembershipAt(r.applied), Data: data}
-	if err := r.wal.SaveSnapshot(s, r.core.EntriesAfter(r.applied)); err != nil {
-		r.log.Fatal("snapshot not saved", zap.Error(err))
-	}
-	r.core.Step(r.now(), lwreplica.Compact{Snapshot: s})
+	s := lwreplica.Snapshot{Index: r.applied, Term: term, Membership: r.core.MembershipAt(r.applied)}
 	r.lastSnap = r.applied
+	r.snapshotting = true
+	go func() {
+		var err error
+		if s.Data, err = state.Snapshot(); err == nil {
+			err = r.wal.WriteSnapshot(s, segment)
+		}
+		r.written <- writtenSnapshot{s, segment, err}
+	}()
+}
+
+// finishSnapshot compacts the log by a snapshot that is durable.
+func (r *replica) finishSnapshot(w writtenSnapshot) {
+	r.snapshotting = false
+	if w.err != nil {
+		r.log.Fatal("snapshot not written", zap.Error(w.err))
+	}
+	if err := r.wal.EndSnapshot(w.segment); err != nil {
+		r.log.Fatal("old log segments not removed", zap.Error(err))
+	}
+	r.core.Step(r.now(), lwreplica.Compact{Snapshot: w.snapshot})
 	snapshots.Add(1)
 }
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -85,6 +85,9 @@
 	lastSnap  lwreplica.Index
 	wasLeader bool
 
+	snapshotting bool                 // one is being written in the background
+	written      chan writtenSnapshot // it was
+
 	mu      sync.RWMutex // guards what follows; the driver writes it
 	state   *lwstate.State
 	view    view
@@ -123,6 +126,7 @@
 		log: log, wal: wal, endpoint: e, id: c.Identity.Replica, events: make(chan event, eventQueueLength), start: time.Now(), free: free,
 		waiters: make(map[uint64]*waiter), atIndex: make(map[lwreplica.Index]*waiter), senders: make(map[lwunit.ReplicaID]*sender),
 		applied: c.Restored.Snapshot.Index, lastSnap: c.Restored.Snapshot.Index, state: state, changed: make(chan struct{}),
+		written: make(chan writtenSnapshot, 1),
 	}
 	r.core = lwreplica.New(cfg, c.Restored, 0)
 	r.publish()
@@ -145,9 +149,15 @@
 		select {
 		case <-ctx.Done():
 			r.abandon(ctx.Err())
+			if r.snapshotting {
+				<-r.written // it writes to the data folder, which is given up next
+			}
 			return nil
 		case <-ticker.C:
 			batch = append(batch, event{body: lwreplica.Tick{}})
+		case w := <-r.written:
+			r.finishSnapshot(w)
+			continue
 		case e := <-r.events:
 			batch = append(batch, e)
 		}
@@ -250,6 +260,9 @@
 func (r *replica) persist(out lwreplica.Output) error {
 	began := time.Now()
 	if out.Snapshot != nil {
+		if r.snapshotting {
+			r.finishSnapshot(<-r.written) // two must not be written at a time
+		}
 		if err := r.wal.SaveSnapshot(*out.Snapshot, out.Entries); err != nil {
 			return err
 		}
@@ -311,7 +324,7 @@
 	r.view = v
 	r.mu.Unlock()
 	r.noteRole(v)
-	if r.applied-r.lastSnap >= snapshotEvery {
+	if r.applied-r.lastSnap >= snapshotEvery && !r.snapshotting {
 		r.takeSnapshot()
 	}
 }
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -84,6 +84,29 @@
 	return data, nil
 }
 
+// Clone returns a copy for reading. It shares what is never changed in place.
+func (s *State) Clone() *State {
+	c := s.c
+	c.Tickets = cloneMap(s.c.Tickets)
+	c.Objects = cloneMap(s.c.Objects)
+	c.Workers = cloneMap(s.c.Workers)
+	c.Jobs = cloneMap(s.c.Jobs)
+	c.Tasks = cloneMap(s.c.Tasks)
+	c.Claims = cloneMap(s.c.Claims)
+	c.Backends = cloneMap(s.c.Backends)
+	return &State{c: c}
+}
+
+func cloneMap[K comparable, V any](m map[K]*V) map[K]*V {
+	values := make([]V, 0, len(m))
+	out := make(map[K]*V, len(m))
+	for k, v := range m {
+		values = append(values, *v)
+		out[k] = &values[len(values)-1]
+	}
+	return out
+}
+
 // Hash returns the SHA-256 of the snapshot in hexadecimal.
 func (s *State) Hash() (string, error) {
 	data, err := s.Snapshot()
--- a/internal/control/lwstate/state_test.go
+++ b/internal/control/lwstate/state_test.go
@@ -53,11 +53,16 @@
 }
 
 func (d *driver) reload() error {
-	data, err := d.twin.Snapshot()
+	clone := d.twin.Clone()
+	d.apply(lwstate.Sweep{}) // what follows must not show in the clone
+	data, err := clone.Snapshot()
 	if err != nil {
 		return err
 	}
 	d.twin, err = lwstate.Restore(data)
+	if err == nil {
+		d.twin.Apply(d.rev, d.clock, lwstate.Sweep{})
+	}
 	return err
 }
 
--- a/internal/control/lwwal/log.go
+++ b/internal/control/lwwal/log.go
@@ -349,32 +349,61 @@
 	return l.disk.SyncFolder()
 }
 
-// SaveSnapshot replaces everything up to the snapshot's index. The entries
-// that follow it are written to a new segment before older ones are removed.
+// SaveSnapshot replaces everything up to the snapshot's index.
 func (l *Log) SaveSnapshot(s lwreplica.Snapshot, following []lwreplica.Entry) error {
+	seq, err := l.BeginSnapshot(following)
+	if err != nil {
+		return err
+	}
+	if err := l.WriteSnapshot(s, seq); err != nil {
+		l.failed = err
+		return err
+	}
+	return l.EndSnapshot(seq)
+}
+
+// BeginSnapshot starts the segment that will follow a snapshot, with the
+// entries after the snapshot's index. Until EndSnapshot the older segments
+// stay, so a crash in between loses nothing.
+func (l *Log) BeginSnapshot(following []lwreplica.Entry) (seq uint64, err error) {
 	if l.failed != nil {
-		return errClosed()
+		return 0, errClosed()
 	}
-	if err := l.replaceSnapshot(s, following); err != nil {
+	if err := l.startSegment(following); err != nil {
 		l.failed = err
-		return fmt.Errorf("save snapshot: %w", err)
+		return 0, fmt.Errorf("begin snapshot: %w", err)
+	}
+	return l.seq, nil
+}
+
+// WriteSnapshot makes the snapshot durable. It may run beside Save, but not
+// beside another WriteSnapshot or SaveSnapshot.
+func (l *Log) WriteSnapshot(s lwreplica.Snapshot, seq uint64) error {
+	if err := l.writeSealed(snapshotName, snapshotFile{s, seq}); err != nil {
+		return fmt.Errorf("write snapshot: %w", err)
 	}
 	return nil
 }
 
-func (l *Log) replaceSnapshot(s lwreplica.Snapshot, following []lwreplica.Entry) error {
-	if err := l.startSegment(following); err != nil {
-		return err
+// EndSnapshot removes the segments that a durable snapshot made unnecessary.
+func (l *Log) EndSnapshot(seq uint64) error {
+	if l.failed != nil {
+		return errClosed()
 	}
-	if err := l.writeSealed(snapshotName, snapshotFile{s, l.seq}); err != nil {
-		return err
+	if err := l.removeBefore(seq); err != nil {
+		l.failed = err
+		return fmt.Errorf("end snapshot: %w", err)
 	}
+	return nil
+}
+
+func (l *Log) removeBefore(first uint64) error {
 	names, err := l.disk.List()
 	if err != nil {
 		return err
 	}
 	for _, name := range names {
-		if seq, ok := segmentSeq(name); (ok && seq < l.seq) || lwdisk.IsTemporary(name) {
+		if seq, ok := segmentSeq(name); (ok && seq < first) || lwdisk.IsTemporary(name) {
 			if err := l.disk.Remove(name); err != nil {
 				return err
 			}
