Replace a control replica at another address by one verb

Cause: a replica could come back only at its old address, and any process with the cluster key that listed itself would have become a voter. Change: a learner becomes a voter only in the place of the voter at its own address or of the one that 'control replace' names. Before: no verb. After: TestReplaceByOperator passes; the learner has no vote before the command.

--- a/internal/bench/lwrig/rig.go
+++ b/internal/bench/lwrig/rig.go
@@ -136,6 +136,7 @@
 func (s *System) StartControl(i int) error {
 	set := s.base(fmt.Sprintf("control-%d", i), i)
 	set.RPCAddress = s.addresses[i]
+	set.Control = s.addresses
 	set.Serve = &lwsetting.Replica{Folder: filepath.Join(s.Shape.Folder, set.Name)}
 	n, err := lwnode.Start(set, s.Shape.Options, s.log)
 	if err != nil {
@@ -326,6 +327,20 @@
 	}
 }
 
+// AddControl starts one more control replica at a new address, which it
+// returns. The replicas before do not know the address.
+func (s *System) AddControl() (string, error) {
+	address, err := FreeAddress()
+	if err != nil {
+		return "", err
+	}
+	old := s.addresses
+	s.addresses = append(append([]string(nil), old...), address)
+	err = s.StartControl(len(old))
+	s.addresses = old
+	return address, err
+}
+
 // LoseDisk kills control replica i, removes its data folder and starts it again.
 func (s *System) LoseDisk(i int) error {
 	s.Control[i].Kill()
--- /dev/null
+++ b/internal/command/lwcommand/control_replace.go
@@ -0,0 +1,49 @@
+package lwcommand
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+)
+
+var controlReplaceVerb = &verb{
+	name:  "control replace",
+	short: "let a new control replica take the place of another",
+	usage: `usage: lavenderweir control replace --old ADDRESS --new ADDRESS
+
+Start the new replica first, with an empty data folder and its own address in
+control_addresses beside the others; it joins as a learner. Once it has caught
+up, the leader removes the voter at the old address and makes the new one a
+voter; "status" shows when. Repeat the command after a change of leader.
+
+  --old ADDRESS   RPC address of the voter to remove
+  --new ADDRESS   RPC address of the learner to follow it
+` + remoteUsage,
+	run: runControlReplace,
+}
+
+func runControlReplace(args []string, io streams) error {
+	var r remote
+	var from, to string
+	c, err := r.connect("control replace", args, func(p *flaggy.Parser) {
+		p.String(&from, "", "old", "RPC address of the voter to remove")
+		p.String(&to, "", "new", "RPC address of the learner to follow it")
+	})
+	if err != nil {
+		return err
+	}
+	if from == "" || to == "" {
+		return &usageError{"--old and --new are required"}
+	}
+	body, err := json.Marshal(map[string]string{"old": from, "new": to})
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	if err := c.Post(context.Background(), "/v1/control/replace", body, nil); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(io.out, "%s takes the place of %s once it has caught up\n", to, from)
+	return err
+}
--- a/internal/command/lwcommand/table.go
+++ b/internal/command/lwcommand/table.go
@@ -28,6 +28,7 @@
 		workerUndrainVerb,
 		serviceListVerb,
 		statusVerb,
+		controlReplaceVerb,
 		benchDecisionsVerb,
 		benchRequestsVerb,
 		benchCapacityVerb,
--- a/internal/control/lwcontrol/bootstrap.go
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -41,6 +41,12 @@
 	Membership lwreplica.Membership `json:"membership"`
 }
 
+// replaceParams names the address of a voter and of the learner to follow it.
+type replaceParams struct {
+	Old string `json:"old"`
+	New string `json:"new"`
+}
+
 func (n *Node) status(_ json.RawMessage) (statusResult, error) {
 	res := statusResult{
 		Replica: n.contents.Identity.Replica, Address: n.cfg.Address, Domain: n.cfg.Domain,
@@ -248,15 +254,73 @@
 	return err
 }
 
+// onReplace notes that the learner at one address shall take the place of the
+// voter at another. The leader keeps it in memory: after a change of leader the
+// operator repeats the command, which does nothing if it is done.
+func (n *Node) onReplace(p replaceParams) error {
+	r, err := n.member()
+	if err != nil {
+		return err
+	}
+	v := r.current()
+	if v.role != lwreplica.Leader {
+		return &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddr}
+	}
+	has := func(list []lwreplica.Member, address string) bool {
+		return slices.ContainsFunc(list, func(m lwreplica.Member) bool { return m.Address == address })
+	}
+	switch {
+	case has(v.membership.Voters, p.New) && !has(v.membership.Voters, p.Old):
+		return nil
+	case !has(v.membership.Learners, p.New):
+		return lwfault.New(lwfault.NotFound, "no replica at %s has joined as a learner; start one there first", p.New)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.replacing == nil {
+		n.replacing = make(map[string]string)
+	}
+	n.replacing[p.New] = p.Old
+	return nil
+}
+
+// placeOf returns the address of the voter whose place a learner may take: its
+// own, or the one that an operator named.
+func (n *Node) placeOf(l lwreplica.Member) string {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if old, ok := n.replacing[l.Address]; ok {
+		return old
+	}
+	return l.Address
+}
+
+// hasPlace reports whether a learner is to become a voter. One that nobody
+// asked for stays a learner, so that a group does not grow by accident.
+func (n *Node) hasPlace(v view, l lwreplica.Member) bool {
+	n.mu.RLock()
+	_, named := n.replacing[l.Address]
+	started := n.promoting[l.ID]
+	n.mu.RUnlock()
+	atAddress := slices.ContainsFunc(v.membership.Voters, func(m lwreplica.Member) bool { return m.Address == l.Address })
+	return named || started || atAddress || len(v.membership.Voters) < len(n.cfg.Replicas)
+}
+
 // repairStep moves the membership one safe step on: a learner that has caught
-// up replaces the silent voter at its address, and is then made a voter.
+// up replaces the voter whose place it takes, and is then made a voter.
 func (n *Node) repairStep(ctx context.Context, r *replica) {
 	v := r.current()
 	for _, l := range v.membership.Learners {
-		if !caughtUp(v, l) {
+		if !caughtUp(v, l) || !n.hasPlace(v, l) {
 			continue
 		}
-		next, why := nextMembership(v, l)
+		n.mu.Lock()
+		if n.promoting == nil {
+			n.promoting = make(map[lwunit.ReplicaID]bool)
+		}
+		n.promoting[l.ID] = true
+		n.mu.Unlock()
+		next, why := nextMembership(v, l, n.placeOf(l))
 		if err := n.changeMembership(ctx, r, next); err != nil {
 			n.log.Warn("membership not changed", zap.Error(err))
 			return
@@ -267,14 +331,14 @@
 }
 
 // nextMembership returns the membership that brings learner l closer to a
-// vote: first the voter whose place it takes is removed, if that still leaves
-// a quorum of answering voters, then l is promoted.
-func nextMembership(v view, l lwreplica.Member) (lwreplica.Membership, string) {
+// vote: first the voter at the address whose place it takes is removed, then l
+// is promoted.
+func nextMembership(v view, l lwreplica.Member, place string) (lwreplica.Membership, string) {
 	next := lwreplica.Membership{Voters: slices.Clone(v.membership.Voters), Learners: slices.Clone(v.membership.Learners)}
 	for i, m := range next.Voters {
-		if m.Address == l.Address {
+		if m.Address == place {
 			next.Voters = slices.Delete(next.Voters, i, i+1)
-			return next, "removed the voter that lost its disk"
+			return next, "removed the voter at " + place
 		}
 	}
 	next.Learners = slices.DeleteFunc(next.Learners, func(m lwreplica.Member) bool { return m.ID == l.ID })
--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -43,6 +43,13 @@
 	})
 	n.endpoint.Handle(methodConfirm, n.onConfirm)
 	n.endpoint.Handle(methodNodes, func(context.Context, *lwrpc.Session, json.RawMessage) (any, error) { return n.watchers.list(), nil })
+	n.endpoint.Handle(lwlink.MethodReplace, func(_ context.Context, _ *lwrpc.Session, p json.RawMessage) (any, error) {
+		params, err := lwlink.Decode[replaceParams](p)
+		if err != nil {
+			return nil, err
+		}
+		return struct{}{}, n.onReplace(params)
+	})
 	n.endpoint.Handle(lwlink.MethodPropose, n.onPropose)
 	n.endpoint.Handle(lwlink.MethodSync, n.onSync)
 	n.endpoint.Handle(lwlink.MethodWatch, n.onWatch)
--- a/internal/control/lwcontrol/history_test.go
+++ b/internal/control/lwcontrol/history_test.go
@@ -164,6 +164,38 @@
 	}
 }
 
+// TestReplaceByOperator adds a replica at a new address: it must stay a learner
+// until the operator lets it take another's place.
+func TestReplaceByOperator(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3)
+	client := newClient(t, s)
+	is.Equal(take(client, ticketInput{1, "aiko"}).author, "aiko")
+	fresh, err := s.AddControl()
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	old := s.ControlAddresses()[0]
+	err = client.Replace(ctx, old, fresh)
+	for lwfault.KindOf(err) == lwfault.NotFound && ctx.Err() == nil {
+		time.Sleep(200 * time.Millisecond) // until it has joined
+		is.Equal(replicaIDs(t, client)[fresh], lwunit.ReplicaID(""))
+		err = client.Replace(ctx, old, fresh)
+	}
+	is.NoErr(err)
+	for {
+		now := replicaIDs(t, client)
+		if now[fresh] != "" && now[old] == "" {
+			is.Equal(len(now), 3)
+			break
+		}
+		is.NoErr(ctx.Err())
+		time.Sleep(200 * time.Millisecond)
+		_ = client.Replace(ctx, old, fresh) // the leader may have changed
+	}
+	is.Equal(take(client, ticketInput{2, "aiko"}).author, "aiko")
+}
+
 // replicaIDs returns the identity of the voter at each address.
 func replicaIDs(t *testing.T, client *lwlink.Client) map[string]lwunit.ReplicaID {
 	t.Helper()
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -51,8 +51,10 @@
 	wal      *lwwal.Log
 	contents lwwal.Contents
 
-	mu      sync.RWMutex
-	replica *replica // nil until the node belongs to a group
+	mu        sync.RWMutex
+	replica   *replica                  // nil until the node belongs to a group
+	replacing map[string]string         // addresses: of a learner, to that of the voter it follows
+	promoting map[lwunit.ReplicaID]bool // learners on their way to a vote
 
 	initial   chan lwreplica.Membership // an accepted init
 	watchers  *watchers
--- a/internal/control/lwlink/client.go
+++ b/internal/control/lwlink/client.go
@@ -127,6 +127,16 @@
 	return res, err
 }
 
+// Replace asks the leader to let the learner at one address take the place of
+// the voter at another.
+func (c *Client) Replace(ctx context.Context, from, to string) error {
+	params := struct {
+		Old string `json:"old"`
+		New string `json:"new"`
+	}{from, to}
+	return c.callLeader(ctx, MethodReplace, params, nil)
+}
+
 // Sync renews a worker's leases. It makes one attempt, since the next interval
 // sends fresher reports.
 func (c *Client) Sync(ctx context.Context, s Sync) (SyncReply, error) {
--- a/internal/control/lwlink/message.go
+++ b/internal/control/lwlink/message.go
@@ -22,6 +22,7 @@
 	MethodWatch   = "control.watch"
 	MethodSync    = "control.sync"
 	MethodQuery   = "control.query"
+	MethodReplace = "control.replace"
 	MethodNudge   = "agent.nudge"
 )
 
--- a/internal/entry/lwentry/admin.go
+++ b/internal/entry/lwentry/admin.go
@@ -45,6 +45,7 @@
 	mux.HandleFunc("GET /v1/teams", e.operator(e.getObjects(lwticket.KindTeam)))
 	mux.HandleFunc("GET /v1/deployments", e.operator(e.getObjects(lwticket.KindDeployment)))
 	mux.HandleFunc("GET /v1/status", e.operator(e.getStatus))
+	mux.HandleFunc("POST /v1/control/replace", e.operator(e.postReplace))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		answerFault(w, lwfault.New(lwfault.NotFound, "%s %s does not exist", r.Method, r.URL.Path))
 	})
@@ -273,6 +274,21 @@
 	}
 }
 
+// replaceRequest names a voter's address and the learner's to follow it.
+type replaceRequest struct {
+	Old string `json:"old"`
+	New string `json:"new"`
+}
+
+func (e *Entry) postReplace(w http.ResponseWriter, r *http.Request, _ grant) {
+	var p replaceRequest
+	if err := lwhttp.ReadJSON(r, &p); err != nil {
+		answerFault(w, err)
+		return
+	}
+	finish(w, http.StatusOK, struct{}{}, e.client.Replace(r.Context(), p.Old, p.New))
+}
+
 // systemStatus is the state of the whole system for operators.
 type systemStatus struct {
 	Revision lwunit.Revision        `json:"revision"`
