Reject a job as unrunnable only once workers have stopped arriving

Cause: while a new system's workers register one by one, a job that only a later one fits was rejected for good. Change: no rejection within 2 s of a change in the number of workers. Before: rejected at the first decision. After: TestJobWaitsForAWorkerThatRegistersLate passes; the test of never-runnable jobs now also says that they are told within 2 s and that others start at once.

--- a/internal/control/lwplacement/core.go
+++ b/internal/control/lwplacement/core.go
@@ -50,10 +50,11 @@
 type Config struct {
 	Rule         Rule
 	Ladder       Ladder
-	LearnSizes   bool // reserve what tasks of a class use, not what they declare
-	LearnPairs   bool // place apart what disturbs
-	MaxStarts    int  // placements in one decision
-	MaxStops     int  // evictions in one decision
+	LearnSizes   bool          // reserve what tasks of a class use, not what they declare
+	LearnPairs   bool          // place apart what disturbs
+	RejectAfter  time.Duration // without a new worker, until a job that fits none is rejected
+	MaxStarts    int           // placements in one decision
+	MaxStops     int           // evictions in one decision
 	UrgentWait   time.Duration
 	AgingLimit   time.Duration // batch waits as if its deadline were this far off
 	HoldAfter    time.Duration // a task that fits nowhere gets a worker cleared for it
@@ -73,7 +74,7 @@
 // DefaultConfig returns the settings used in production.
 func DefaultConfig() Config {
 	return Config{
-		Rule: Weighed{}, Ladder: LadderFull, LearnSizes: true, LearnPairs: true, MaxStarts: 50, MaxStops: 20,
+		Rule: Weighed{}, Ladder: LadderFull, LearnSizes: true, LearnPairs: true, RejectAfter: 2 * time.Second, MaxStarts: 50, MaxStops: 20,
 		UrgentWait: 200 * time.Millisecond, AgingLimit: 4 * time.Hour, HoldAfter: 5 * time.Minute, MaxHolds: 3,
 		LateEnter: 0.01, LateLeave: 0.005, LeaveAfter: 3, ThrottleTo: 50,
 		Tolerance: 0.004, ToleranceUp: 10 * time.Minute, MoveEvery: 10 * time.Second, FailuresOut: 3, ProbeFirst: time.Minute, ProbeLongest: 30 * time.Minute,
@@ -150,6 +151,8 @@
 	movedAt time.Duration
 
 	resizedAt time.Duration
+	workers   int           // known at the last decision
+	workersAt time.Duration // when their number last changed
 	picks     uint64
 }
 
@@ -179,6 +182,9 @@
 // each of which sees what the ones before it took.
 func (c *Core) Decide(now time.Duration, s *lwstate.State) []lwstate.Command {
 	r := newRound(now, s)
+	if len(r.workers) != c.workers {
+		c.workers, c.workersAt = len(r.workers), now
+	}
 	c.forget(now, s)
 	stages := []func(*round){c.remember, c.reprice, c.judgeWorkers, c.resize, c.climb, c.drain, c.start, c.preempt, c.rebalance}
 	for _, stage := range stages {
--- a/internal/control/lwplacement/placement_test.go
+++ b/internal/control/lwplacement/placement_test.go
@@ -104,12 +104,28 @@
 	b.submit(is, "huge", "t", lwstate.ClassBatch, 1, 9)
 	b.submit(is, "small", "t", lwstate.ClassBatch, 1, 1)
 	b.decide()
+	is.Equal(b.held("small"), 1) // at once
 	j, _ := b.s.Job("huge")
+	is.Equal(j.Phase, lwstate.JobActive) // a worker that it fits may be registering
+	for range 2 * time.Second / tick {
+		b.decide()
+	}
+	j, _ = b.s.Job("huge")
 	is.Equal(j.Phase, lwstate.JobUnrunnable)
 	is.True(j.Reason != "")
 	is.Equal(b.held("small"), 1)
 }
 
+func TestJobWaitsForAWorkerThatRegistersLate(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2, "t")
+	b.submit(is, "huge", "t", lwstate.ClassBatch, 1, 9)
+	b.decide()
+	b.apply(lwstate.RegisterWorker{Incarnation: "i", Spec: lwstate.WorkerSpec{ID: "large", Capacity: lwunit.Resources{Millicores: 16000, Memory: 32 * lwunit.GiB}}})
+	b.decide()
+	is.Equal(b.held("huge"), 1)
+}
+
 func TestOversizedHeadBlocksNobodyAndIsNotStarved(t *testing.T) {
 	is := is.New(t)
 	b := newBench(2, "t")
--- a/internal/control/lwplacement/start.go
+++ b/internal/control/lwplacement/start.go
@@ -23,7 +23,10 @@
 	for f.Len() > 0 && len(r.placements) < c.cfg.MaxStarts {
 		q := (*f)[0]
 		j := q.jobs[0]
-		why := r.neverFits(j)
+		why := ""
+		if r.now-c.workersAt >= c.cfg.RejectAfter {
+			why = r.neverFits(j) // before that the worker it fits may yet register
+		}
 		if why != "" {
 			r.rejects = append(r.rejects, lwstate.RejectJob{Job: j.Spec.ID, Reason: why})
 		}
