Run under the race detector: sessions, identity, engine stops

Cause: the detector found the replica's identity read beside its writing, RPC sessions published through the library's unsynchronised field, and an engine that panics when a connection is added while it stops. Change: sessions in a concurrent map of our own, the identity kept apart, no dialling once closed, the stop's panic caught and counted.

--- a/internal/control/lwcontrol/bootstrap.go
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -49,7 +49,7 @@
 
 func (n *Node) status(_ json.RawMessage) (statusResult, error) {
 	res := statusResult{
-		Replica: n.contents.Identity.Replica, Address: n.cfg.Address, Domain: n.cfg.Domain,
+		Replica: n.id, Address: n.cfg.Address, Domain: n.cfg.Domain,
 	}
 	n.mu.RLock()
 	res.Cluster = n.contents.Identity.Cluster
@@ -101,7 +101,7 @@
 	founder := slices.MinFunc(members, func(a, b lwreplica.Member) int {
 		return compareIDs(a.ID, b.ID)
 	})
-	if founder.ID != n.contents.Identity.Replica {
+	if founder.ID != n.id {
 		return nil // the founder will tell this node
 	}
 	return n.found(ctx, lwreplica.Membership{Voters: members})
@@ -140,7 +140,7 @@
 	}
 	params := initParams{id, m}
 	for _, member := range m.Voters {
-		if member.ID == n.contents.Identity.Replica {
+		if member.ID == n.id {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, bootstrapTimeout)
@@ -164,7 +164,7 @@
 		}
 		return lwfault.New(lwfault.Conflict, "this replica belongs to a group already")
 	}
-	if !p.Membership.IsVoter(n.contents.Identity.Replica) {
+	if !p.Membership.IsVoter(n.id) {
 		return lwfault.New(lwfault.Fenced, "the membership names another identity at this address")
 	}
 	if err := n.adopt(p.Membership, p.Cluster); err != nil {
@@ -203,7 +203,7 @@
 // askJoin asks the leader to add this replica as a learner. The leader makes
 // it a voter once it has caught up.
 func (n *Node) askJoin(ctx context.Context) error {
-	me := lwreplica.Member{ID: n.contents.Identity.Replica, Address: n.cfg.Address, Domain: n.cfg.Domain}
+	me := lwreplica.Member{ID: n.id, Address: n.cfg.Address, Domain: n.cfg.Domain}
 	var last error
 	for _, address := range n.cfg.Replicas {
 		if address == n.cfg.Address {
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -50,6 +50,7 @@
 	folder   *lwdisk.Folder
 	wal      *lwwal.Log
 	contents lwwal.Contents
+	id       lwunit.ReplicaID // of this replica; the rest of its identity may change
 
 	mu        sync.RWMutex
 	replica   *replica                  // nil until the node belongs to a group
@@ -81,7 +82,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		cfg: cfg, log: log, endpoint: e, folder: folder, wal: wal, contents: contents,
+		cfg: cfg, log: log, endpoint: e, folder: folder, wal: wal, contents: contents, id: contents.Identity.Replica,
 		initial: make(chan lwreplica.Membership, 1), watchers: newWatchers(), cancel: cancel, done: make(chan error, 1),
 	}
 	n.leader = newLeader(n)
@@ -180,7 +181,7 @@
 			return nil
 		}
 	}
-	cfg := lwreplica.DefaultConfig(n.contents.Identity.Replica, n.cfg.Seed^uint64(time.Now().UnixNano()))
+	cfg := lwreplica.DefaultConfig(n.id, n.cfg.Seed^uint64(time.Now().UnixNano()))
 	r, err := newReplica(n.log, n.wal, n.contents, n.endpoint, n.folder.Free, cfg)
 	if err != nil {
 		return err
--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -157,6 +157,11 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		defer func() {
+			if recover() != nil { // the engine panics if a connection is added meanwhile
+				httpStopsCut.Add(1)
+			}
+		}()
 		stop()
 	}()
 	select {
--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -8,6 +8,7 @@
 	"io"
 	"log"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -30,21 +31,33 @@
 
 // Session is one authenticated connection to another process.
 type Session struct {
+	mu      sync.Mutex // held by attach until the rest is set
 	rpc     *jsonrpc2.Conn
 	stream  *stream
-	mu      sync.Mutex
 	trusted bool
 }
 
+func (s *Session) conn() *jsonrpc2.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rpc
+}
+
+func (s *Session) frames() *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream
+}
+
 // Done is closed when the connection has ended.
-func (s *Session) Done() <-chan struct{} { return s.rpc.DisconnectNotify() }
+func (s *Session) Done() <-chan struct{} { return s.conn().DisconnectNotify() }
 
 // Close ends the connection.
-func (s *Session) Close() { _ = s.rpc.Close() }
+func (s *Session) Close() { _ = s.conn().Close() }
 
 // Notify sends a message that has no answer.
 func (s *Session) Notify(ctx context.Context, method string, params any) error {
-	if err := s.rpc.Notify(ctx, method, params); err != nil {
+	if err := s.conn().Notify(ctx, method, params); err != nil {
 		return fmt.Errorf("notify %s: %w", method, err)
 	}
 	return nil
@@ -52,7 +65,7 @@
 
 // Call sends a request and decodes its answer into result.
 func (s *Session) Call(ctx context.Context, method string, params, result any) error {
-	err := s.rpc.Call(ctx, method, params, result)
+	err := s.conn().Call(ctx, method, params, result)
 	if err == nil {
 		return nil
 	}
@@ -67,7 +80,9 @@
 	key    string
 	engine *nbio.Engine
 
-	closed sync.Once
+	closed   sync.Once
+	closing  atomic.Bool
+	sessions sync.Map // *nbio.Conn to *Session
 
 	mu      sync.RWMutex
 	methods map[string]Handler
@@ -85,14 +100,14 @@
 	e := &Endpoint{key: key, engine: nbio.NewEngine(cfg), methods: make(map[string]Handler), peers: make(map[string]*Peer)}
 	e.engine.OnOpen(func(c *nbio.Conn) { e.attach(c, false) })
 	e.engine.OnData(func(c *nbio.Conn, data []byte) {
-		if s, ok := c.Session().(*Session); ok {
-			s.stream.receive(data)
+		if s, ok := e.sessions.Load(c); ok {
+			s.(*Session).frames().receive(data)
 		}
 	})
 	e.engine.OnClose(func(c *nbio.Conn, err error) {
-		if s, ok := c.Session().(*Session); ok {
+		if s, ok := e.sessions.LoadAndDelete(c); ok {
 			rpcConnections.Add(-1)
-			s.stream.fail(closeReason(err))
+			s.(*Session).frames().fail(closeReason(err))
 		}
 	})
 	if err := e.engine.Start(); err != nil {
@@ -125,6 +140,7 @@
 
 // Close closes the listener and every connection.
 func (e *Endpoint) Close() {
+	e.closing.Store(true)
 	e.mu.RLock()
 	for _, p := range e.peers {
 		p.drop()
@@ -135,11 +151,14 @@
 
 // attach makes a session on a new connection; dialled ones are trusted.
 func (e *Endpoint) attach(c *nbio.Conn, dialled bool) *Session {
-	if s, ok := c.Session().(*Session); ok {
-		return s
+	if s, ok := e.sessions.Load(c); ok {
+		return s.(*Session)
 	}
-	s := &Session{stream: newStream(c), trusted: dialled}
-	c.SetSession(s)
+	s := &Session{trusted: dialled}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stream = newStream(c)
+	e.sessions.Store(c, s)
 	_ = c.SetNoDelay(true)
 	rpcConnections.Add(1)
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) // closed connections are counted, not logged
@@ -308,6 +327,9 @@
 }
 
 func (e *Endpoint) dial(ctx context.Context, address string) (*Session, error) {
+	if e.closing.Load() {
+		return nil, lwfault.New(lwfault.Unavailable, "this endpoint is closed")
+	}
 	c, err := nbio.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "dial " + address, Cause: err}
--- a/internal/worker/lwgate/gate_test.go
+++ b/internal/worker/lwgate/gate_test.go
@@ -30,32 +30,32 @@
 
 func TestSlotsAndQueueHold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
+		check := is.New(t)
 		g := lwgate.New(lwgate.Limits{Slots: 2, Queue: 1})
-		a := enter(is, g, time.Minute)
-		enter(is, g, time.Minute)
+		a := enter(check, g, time.Minute)
+		enter(check, g, time.Minute)
 		var third *lwgate.Slot
-		go func() { third = enter(is, g, time.Minute) }()
+		go func() { third = enter(is.New(t), g, time.Minute) }()
 		synctest.Wait()
-		f := wantRefusal(is, g, time.Minute, lwfault.Overloaded)
-		is.True(f.RetryAfter > 0)
+		f := wantRefusal(check, g, time.Minute, lwfault.Overloaded)
+		check.True(f.RetryAfter > 0)
 		a.Leave()
 		synctest.Wait()
-		is.True(third != nil)
-		is.Equal(g.Load(), lwgate.Load{Busy: 2, Queued: 0, Slots: 2})
+		check.True(third != nil)
+		check.Equal(g.Load(), lwgate.Load{Busy: 2, Queued: 0, Slots: 2})
 	})
 }
 
 func TestNearestDeadlineGoesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
+		check := is.New(t)
 		g := lwgate.New(lwgate.Limits{Slots: 1, Queue: 10})
-		held := enter(is, g, time.Minute)
+		held := enter(check, g, time.Minute)
 		var mu sync.Mutex
 		var order []time.Duration
 		for _, left := range []time.Duration{30 * time.Second, 10 * time.Second, 20 * time.Second} {
 			go func() {
-				s := enter(is, g, left)
+				s := enter(is.New(t), g, left)
 				mu.Lock()
 				order = append(order, left)
 				mu.Unlock()
@@ -65,7 +65,7 @@
 		synctest.Wait()
 		held.Leave()
 		synctest.Wait()
-		is.Equal(order, []time.Duration{10 * time.Second, 20 * time.Second, 30 * time.Second})
+		check.Equal(order, []time.Duration{10 * time.Second, 20 * time.Second, 30 * time.Second})
 	})
 }
 
@@ -98,14 +98,14 @@
 
 func TestDrainRefusesAtOnceAndFinishesWhatIsIn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
+		check := is.New(t)
 		g := lwgate.New(lwgate.Limits{Slots: 1, Queue: 10})
-		held := enter(is, g, time.Minute)
+		held := enter(check, g, time.Minute)
 		done := make(chan struct{})
-		go func() { enter(is, g, time.Minute).Leave(); close(done) }()
+		go func() { enter(is.New(t), g, time.Minute).Leave(); close(done) }()
 		synctest.Wait()
 		idle := g.Drain()
-		wantRefusal(is, g, time.Minute, lwfault.Unavailable)
+		wantRefusal(check, g, time.Minute, lwfault.Unavailable)
 		select {
 		case <-idle:
 			t.Fatal("idle with a request in flight")
