Stream and record answers in one place each; io.Copy is held back too

Cause: entry and agent each recorded answers in their own way, and streaming stood twice in the entry; copying with io.Copy would have found the response's own ReadFrom, which does not wait for a slow caller. Change: lwrun.Recorder, Entry.stream, ReadFrom and WriteString through the waiting Write. Before: with ReadFrom removed TestSlowReaderHoldsTheHandlerBack/by_io.Copy fails. After: passes.

--- a/internal/entry/lwentry/claim.go
+++ b/internal/entry/lwentry/claim.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -237,25 +238,10 @@
 // answerClaimed streams the answer and records it. The caller need not wait
 // for the record: until it is there, a resend asks the agent.
 func (e *Entry) answerClaimed(q *request, c lwstate.Claim, a attempt) {
-	rec := &recorder{ResponseWriter: q.w, sum: sha256.New(), answer: lwstate.Answer{Status: a.res.StatusCode, ContentType: a.res.Header.Get("Content-Type"), Whole: true}}
-	defer func() { _ = a.res.Body.Close() }()
-	defer func() { q.service.router.Done(a.target.Backend, a.report) }()
-	lwheader.Copy(q.w.Header(), a.res.Header)
-	q.w.Header().Set(lwheader.Outcome, lwheader.Completed)
-	if a.res.ContentLength >= 0 {
-		q.w.Header().Set("Content-Length", strconv.FormatInt(a.res.ContentLength, 10))
+	rec := lwrun.NewRecorder(a.res.StatusCode, a.res.Header.Get("Content-Type"))
+	if e.stream(q, a, io.MultiWriter(q.w, rec)) {
+		e.done.Go(func() { _ = e.close(c, lwstate.ClaimDone, rec.Answer()) })
 	}
-	q.w.WriteHeader(a.res.StatusCode)
-	if err := copyBody(rec, a.res.Body); err != nil {
-		entryTruncated.Add(1)
-		a.report.Outcome = lwroute.Failed
-		lwhttp.Abort(q.w)
-		return
-	}
-	entryCompleted.Add(1)
-	rec.answer.Digest = hex.EncodeToString(rec.sum.Sum(nil))
-	answer := rec.answer
-	e.done.Go(func() { _ = e.close(c, lwstate.ClaimDone, &answer) })
 }
 
 // replay answers with a recorded answer, or with its status and digest when it
@@ -286,27 +272,6 @@
 	SHA256 string `json:"sha256"`
 }
 
-type recorder struct {
-	http.ResponseWriter
-	sum interface {
-		Write(p []byte) (int, error)
-		Sum(b []byte) []byte
-	}
-	answer lwstate.Answer
-}
-
-// Write passes data on and keeps what a resend may need.
-func (r *recorder) Write(data []byte) (int, error) {
-	r.sum.Write(data)
-	r.answer.Size += int64(len(data))
-	if r.answer.Size <= lwstate.MaxAnswerBytes {
-		r.answer.Body = append(r.answer.Body, data...)
-	} else {
-		r.answer.Body, r.answer.Whole = nil, false
-	}
-	return r.ResponseWriter.Write(data)
-}
-
 // askAgent settles a binding with the agent it is bound to.
 func (e *Entry) askAgent(ctx context.Context, c lwstate.Claim) (lwrun.Record, error) {
 	p := e.policy.Load()
--- a/internal/entry/lwentry/request.go
+++ b/internal/entry/lwentry/request.go
@@ -311,9 +311,12 @@
 	return rep
 }
 
-// answer streams a backend server's answer to the caller. If it breaks off, so
-// does the caller's connection.
-func (e *Entry) answer(q *request, a attempt) {
+// answer streams a backend server's answer to the caller.
+func (e *Entry) answer(q *request, a attempt) { e.stream(q, a, q.w) }
+
+// stream sends the head of an answer to the caller and its body to w, which
+// includes the caller. If the body breaks off, so does the caller's connection.
+func (e *Entry) stream(q *request, a attempt, w io.Writer) (whole bool) {
 	defer func() { _ = a.res.Body.Close() }()
 	defer func() { q.service.router.Done(a.target.Backend, a.report) }()
 	lwheader.Copy(q.w.Header(), a.res.Header)
@@ -322,31 +325,14 @@
 		q.w.Header().Set("Content-Length", strconv.FormatInt(a.res.ContentLength, 10))
 	}
 	q.w.WriteHeader(a.res.StatusCode)
-	if err := copyBody(q.w, a.res.Body); err != nil {
+	if _, err := io.CopyBuffer(w, a.res.Body, make([]byte, copyBytes)); err != nil {
 		entryTruncated.Add(1)
 		a.report.Outcome = lwroute.Failed
 		lwhttp.Abort(q.w)
-		return
+		return false
 	}
 	entryCompleted.Add(1)
-}
-
-func copyBody(w http.ResponseWriter, body io.Reader) error {
-	buf := make([]byte, copyBytes)
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return werr
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+	return true
 }
 
 // answerFault answers a request that was refused before any attempt.
--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -30,6 +31,7 @@
 	readBufferBytes     = 16 << 10
 	headerSlack         = 64 * lwunit.KiB
 	handlerLimit        = 2048
+	copyBytes           = 32 << 10
 	unsentLimit         = 256 << 10
 	stopLimit           = 2 * time.Second
 	watchEvery          = 50 * time.Millisecond
@@ -354,6 +356,15 @@
 	return n, w.wait()
 }
 
+// ReadFrom copies through Write. Without it io.Copy would find the response's
+// own, which does not wait.
+func (w *flowWriter) ReadFrom(r io.Reader) (int64, error) {
+	return io.CopyBuffer(struct{ io.Writer }{w}, r, make([]byte, copyBytes))
+}
+
+// WriteString sends text through Write.
+func (w *flowWriter) WriteString(s string) (int, error) { return w.Write([]byte(s)) }
+
 func (w *flowWriter) wait() error {
 	var timer *time.Timer
 	for {
--- a/internal/net/lwhttp/server_test.go
+++ b/internal/net/lwhttp/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -115,31 +114,47 @@
 	}
 }
 
+// endless is a body without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
 func TestSlowReaderHoldsTheHandlerBack(t *testing.T) {
-	is := is.New(t)
 	const size = 64 << 20
-	progress := make(chan int, 1)
-	s := listen(t, lwhttp.Config{WriteStall: 300 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		written := 0
-		chunk := bytes.Repeat([]byte("x"), 64<<10)
-		for written < size {
-			n, err := w.Write(chunk)
-			written += n
-			if err != nil {
-				break
+	writers := map[string]func(http.ResponseWriter) int64{
+		"by Write": func(w http.ResponseWriter) int64 {
+			chunk := make([]byte, 64<<10)
+			for written := int64(0); ; {
+				n, err := w.Write(chunk)
+				written += int64(n)
+				if err != nil || written >= size {
+					return written
+				}
 			}
-		}
-		progress <- written
-	})})
-	c, err := net.Dial("tcp", s.Address())
-	is.NoErr(err)
-	defer func() { _ = c.Close() }()
-	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
-	is.NoErr(err)
-	select {
-	case written := <-progress:
-		is.True(written < size) // it was stopped, not buffered whole
-	case <-time.After(patience):
-		t.Fatal("the handler was neither held back nor stopped")
+		},
+		"by io.Copy": func(w http.ResponseWriter) int64 {
+			n, _ := io.Copy(w, io.LimitReader(endless{}, size))
+			return n
+		},
+	}
+	for name, write := range writers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			progress := make(chan int64, 1)
+			s := listen(t, lwhttp.Config{WriteStall: 300 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				progress <- write(w)
+			})})
+			c, err := net.Dial("tcp", s.Address())
+			is.NoErr(err)
+			defer func() { _ = c.Close() }()
+			_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+			is.NoErr(err)
+			select {
+			case written := <-progress:
+				is.True(written < size) // it was stopped, not buffered whole
+			case <-time.After(patience):
+				t.Fatal("the handler was neither held back nor stopped")
+			}
+		})
 	}
 }
--- a/internal/worker/lwagent/serve.go
+++ b/internal/worker/lwagent/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"expvar"
 	"fmt"
@@ -20,6 +18,7 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/net/lwheader"
 	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
+	"lavenderweir.example/lavenderweir/internal/worker/lwrun"
 )
 
 // Paths that an agent serves.
@@ -275,30 +274,22 @@
 	lwhttp.WriteProblem(w, &lwfault.Fault{Kind: kind, Detail: "no answer from the backend server", Cause: err})
 }
 
-// copyAnswer streams the answer and keeps its digest, and its body if small.
-// A truncated answer closes the connection, so that it cannot pass as whole.
+// copyAnswer streams the answer and records it. A truncated answer closes the
+// connection, so that it cannot pass as whole.
 func copyAnswer(w http.ResponseWriter, res *http.Response) *lwstate.Answer {
-	sum := sha256.New()
-	answer := &lwstate.Answer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Whole: true}
+	rec := lwrun.NewRecorder(res.StatusCode, res.Header.Get("Content-Type"))
 	buf := make([]byte, copyBytes)
 	for {
 		n, err := res.Body.Read(buf)
+		_, _ = rec.Write(buf[:n])
 		if n > 0 {
-			sum.Write(buf[:n])
-			answer.Size += int64(n)
-			if answer.Size <= lwstate.MaxAnswerBytes {
-				answer.Body = append(answer.Body, buf[:n]...)
-			} else {
-				answer.Body, answer.Whole = nil, false
-			}
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				lwhttp.Abort(w)
-				return finishUnread(res, answer, sum, buf)
+				return recordRest(rec, res, buf)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			answer.Digest = hex.EncodeToString(sum.Sum(nil))
-			return answer
+			return rec.Answer()
 		}
 		if err != nil {
 			agentTruncated.Add(1)
@@ -308,22 +299,11 @@
 	}
 }
 
-type digester interface {
-	io.Writer
-	Sum(b []byte) []byte
-}
-
-// finishUnread reads the rest of an answer whose entry is gone, so that the
+// recordRest reads the rest of an answer whose entry is gone, so that the
 // run's outcome is still known to a resend.
-func finishUnread(res *http.Response, answer *lwstate.Answer, sum digester, buf []byte) *lwstate.Answer {
-	n, err := io.CopyBuffer(sum, res.Body, buf)
-	if err != nil {
+func recordRest(rec *lwrun.Recorder, res *http.Response, buf []byte) *lwstate.Answer {
+	if _, err := io.CopyBuffer(rec, res.Body, buf); err != nil {
 		return nil
 	}
-	answer.Size += n
-	if n > 0 {
-		answer.Body, answer.Whole = nil, false
-	}
-	answer.Digest = hex.EncodeToString(sum.Sum(nil))
-	return answer
+	return rec.Answer()
 }
