Give up a worker under the registration it was lost in

Cause: found by reading: LoseWorker could be committed just after the worker had registered again; its agent could hold a new lease while its tasks were placed elsewhere, so a task could run twice. Change: registrations are numbered by revision; leases are tracked and workers given up by registration; what is meant for a former one has no effect. Before: nothing in the command told the two apart. After: cases in lwlease and a random action in lwstate hold it.

--- a/internal/bench/lwscenario/drive.go
+++ b/internal/bench/lwscenario/drive.go
@@ -226,7 +226,8 @@
 		w.lost = false
 		d.register(w)
 	case w.lost && d.now-d.lostAt[w.id] == leaseEnd:
-		d.apply(lwstate.LoseWorker{Worker: w.id})
+		known, _ := d.state.Worker(w.id)
+		d.apply(lwstate.LoseWorker{Worker: w.id, Registered: known.Registered})
 	}
 }
 
--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -104,13 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var rev lwunit.Revision
-	var res lwstate.Result
-	if reg, ok := cmd.(lwstate.RegisterWorker); ok {
-		rev, res, err = n.leader.register(ctx, r, reg)
-	} else {
-		rev, res, err = r.propose(ctx, cmd)
-	}
+	rev, res, err := r.propose(ctx, cmd)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/lwcontrol/leader.go
+++ b/internal/control/lwcontrol/leader.go
@@ -104,7 +104,7 @@
 	defer l.mu.Unlock()
 	if l.term != v.term {
 		l.term = v.term
-		l.leases = lwlease.NewTracker(l.node.cfg.Lease, r.now())
+		l.leases = lwlease.NewTracker(l.node.cfg.Lease)
 		l.core = lwplacement.New(l.node.cfg.Placement)
 		l.sessions = make(map[lwunit.WorkerID]*lwrpc.Session)
 		l.told = make(map[lwunit.WorkerID]lwunit.Revision)
@@ -114,21 +114,21 @@
 
 // loseWorkers ends the attempts on workers whose leases have surely ended.
 func (l *leader) loseWorkers(ctx context.Context, r *replica) {
-	var ids []lwunit.WorkerID
+	var holders []lwlease.Holder
+	l.mu.Lock()
 	r.read(func(s *lwstate.State) {
-		for _, w := range s.Workers() {
+		s.EachWorker(func(w *lwstate.Worker) {
 			if !w.Lost {
-				ids = append(ids, w.Spec.ID)
+				holders = append(holders, lwlease.Holder{Worker: w.Spec.ID, Registration: w.Registered})
 			}
-		}
+		})
 	})
-	l.mu.Lock()
-	ended := l.leases.Ended(ids, r.now())
+	ended := l.leases.Ended(holders, r.now())
 	l.mu.Unlock()
-	for _, id := range ended {
-		l.node.log.Warn("worker lost: its leases have ended", zap.String("worker", string(id)))
+	for _, h := range ended {
+		l.node.log.Warn("worker lost: its leases have ended", zap.String("worker", string(h.Worker)))
 		workersLost.Add(1)
-		l.propose(ctx, r, lwstate.LoseWorker{Worker: id})
+		l.propose(ctx, r, lwstate.LoseWorker{Worker: h.Worker, Registered: h.Registration})
 	}
 }
 
@@ -190,12 +190,7 @@
 	if !l.takeOffice(r) {
 		return lwlink.SyncReply{}, &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: r.current().leaderAddr}
 	}
-	known := false
-	r.read(func(s *lwstate.State) {
-		w, ok := s.Worker(m.Worker)
-		known = ok && !w.Lost && w.Incarnation == m.Incarnation
-	})
-	if !known {
+	if _, ok := r.holder(m); !ok {
 		return lwlink.SyncReply{Register: true}, nil
 	}
 	if len(m.Reports) > 0 {
@@ -214,7 +209,11 @@
 	now := r.now()
 	r.read(func(s *lwstate.State) { l.observe(now, s, m) })
 	l.sessions[m.Worker] = session
-	lease, ok := l.leases.Renew(m.Worker, now)
+	h, ok := r.holder(m)
+	var lease time.Duration
+	if ok {
+		lease, ok = l.leases.Renew(h, now)
+	}
 	if !ok {
 		return lwlink.SyncReply{Register: true}, nil
 	}
@@ -275,13 +274,15 @@
 	return list
 }
 
-// register records a worker's description and readmits it.
-func (l *leader) register(ctx context.Context, r *replica, c lwstate.RegisterWorker) (lwunit.Revision, lwstate.Result, error) {
-	rev, res, err := r.propose(ctx, c)
-	if err == nil && res.Err == nil && l.takeOffice(r) {
-		l.mu.Lock()
-		l.leases.Registered(c.Spec.ID, r.now())
-		l.mu.Unlock()
-	}
-	return rev, res, err
+// holder returns the registration under which an agent may hold leases; an agent
+// that has none must register first.
+func (r *replica) holder(m lwlink.Sync) (lwlease.Holder, bool) {
+	var h lwlease.Holder
+	known := false
+	r.read(func(s *lwstate.State) {
+		w, ok := s.Worker(m.Worker)
+		known = ok && !w.Lost && w.Incarnation == m.Incarnation
+		h = lwlease.Holder{Worker: m.Worker, Registration: w.Registered}
+	})
+	return h, known
 }
--- a/internal/control/lwlease/lease.go
+++ b/internal/control/lwlease/lease.go
@@ -28,55 +28,69 @@
 	return time.Duration(float64(c.Lease)*(1+2*c.ClockRate)) + c.StopTime
 }
 
+// Holder is a worker under one registration. A worker that registers again is
+// another holder, so that giving up the former cannot touch the latter.
+type Holder struct {
+	Worker       lwunit.WorkerID
+	Registration lwunit.Revision
+}
+
 // Tracker remembers renewals since this replica began to lead. It is not safe
 // for concurrent use. Times are of this process's monotonic clock.
 type Tracker struct {
 	cfg     Config
-	since   time.Duration
-	renewed map[lwunit.WorkerID]time.Duration
-	losing  map[lwunit.WorkerID]bool
+	holders map[lwunit.WorkerID]*holding
 }
 
-// NewTracker returns the tracker of a leader that took office at now.
-func NewTracker(cfg Config, now time.Duration) *Tracker {
-	return &Tracker{cfg: cfg, since: now, renewed: make(map[lwunit.WorkerID]time.Duration), losing: make(map[lwunit.WorkerID]bool)}
+// holding is what is known of a worker's present registration.
+type holding struct {
+	registration lwunit.Revision
+	renewed      time.Duration // last renewal, or when the registration was first seen
+	losing       bool
 }
 
-// Renew extends the leases of a worker. It refuses once the worker is being
-// given up, until it has registered again.
-func (t *Tracker) Renew(w lwunit.WorkerID, now time.Duration) (time.Duration, bool) {
-	if t.losing[w] {
-		return 0, false
-	}
-	t.renewed[w] = now
-	return t.cfg.Lease, true
+// NewTracker returns the tracker of a leader that took office just now.
+func NewTracker(cfg Config) *Tracker {
+	return &Tracker{cfg: cfg, holders: make(map[lwunit.WorkerID]*holding)}
 }
 
-// Registered readmits a worker.
-func (t *Tracker) Registered(w lwunit.WorkerID, now time.Duration) {
-	delete(t.losing, w)
-	t.renewed[w] = now
+// see returns the holding of h, begun afresh if the registration is new. A
+// leader that sees one for the first time counts from then: its predecessor
+// may have renewed it until now.
+func (t *Tracker) see(h Holder, now time.Duration) *holding {
+	k := t.holders[h.Worker]
+	if k == nil || k.registration < h.Registration {
+		k = &holding{registration: h.Registration, renewed: now}
+		t.holders[h.Worker] = k
+	}
+	return k
 }
 
-// Silence returns how long ago a worker's leases were last renewed, at most.
-func (t *Tracker) Silence(w lwunit.WorkerID, now time.Duration) time.Duration {
-	at, ok := t.renewed[w]
-	if !ok {
-		at = t.since
+// Renew extends the leases of a worker. It refuses once the registration is
+// being given up, or is older than one seen.
+func (t *Tracker) Renew(h Holder, now time.Duration) (time.Duration, bool) {
+	k := t.see(h, now)
+	if k.losing || k.registration != h.Registration {
+		return 0, false
 	}
-	return now - at
+	k.renewed = now
+	return t.cfg.Lease, true
 }
 
-// Ended returns those of the given workers whose leases have surely ended, in
+// Ended returns those of the given holders whose leases have surely ended, in
 // order of their names. From then on Renew refuses them.
-func (t *Tracker) Ended(workers []lwunit.WorkerID, now time.Duration) []lwunit.WorkerID {
-	var ended []lwunit.WorkerID
-	for _, w := range workers {
-		if t.losing[w] || t.Silence(w, now) > t.cfg.End() {
-			t.losing[w] = true
-			ended = append(ended, w)
+func (t *Tracker) Ended(holders []Holder, now time.Duration) []Holder {
+	var ended []Holder
+	for _, h := range holders {
+		k := t.see(h, now)
+		if k.registration != h.Registration {
+			continue
+		}
+		if k.losing || now-k.renewed > t.cfg.End() {
+			k.losing = true
+			ended = append(ended, h)
 		}
 	}
-	sort.Slice(ended, func(i, j int) bool { return ended[i] < ended[j] })
+	sort.Slice(ended, func(i, j int) bool { return ended[i].Worker < ended[j].Worker })
 	return ended
 }
--- a/internal/control/lwlease/lease_test.go
+++ b/internal/control/lwlease/lease_test.go
@@ -6,36 +6,55 @@
 
 	"github.com/matryer/is"
 
-	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwlease"
 )
 
-var workers = []lwunit.WorkerID{"w"}
+var (
+	first  = lwlease.Holder{Worker: "w", Registration: 1}
+	second = lwlease.Holder{Worker: "w", Registration: 2}
+)
+
+func ended(l *lwlease.Tracker, h lwlease.Holder, now time.Duration) bool {
+	return len(l.Ended([]lwlease.Holder{h}, now)) == 1
+}
+
+func renews(l *lwlease.Tracker, h lwlease.Holder, now time.Duration) bool {
+	_, ok := l.Renew(h, now)
+	return ok
+}
 
 func TestLease(t *testing.T) {
 	cfg := lwlease.DefaultConfig()
 	t.Run("ends only after lease, rate bound and stop time", func(t *testing.T) {
 		is := is.New(t)
-		l := lwlease.NewTracker(cfg, 0)
-		_, ok := l.Renew("w", time.Second)
-		is.True(ok)
-		is.Equal(len(l.Ended(workers, time.Second+cfg.End())), 0)
-		is.Equal(l.Ended(workers, time.Second+cfg.End()+1), workers)
+		l := lwlease.NewTracker(cfg)
+		is.True(renews(l, first, time.Second))
+		is.True(!ended(l, first, time.Second+cfg.End()))
+		is.True(ended(l, first, time.Second+cfg.End()+1))
 	})
 	t.Run("a new leader waits for what its predecessor granted", func(t *testing.T) {
 		is := is.New(t)
-		l := lwlease.NewTracker(cfg, time.Hour)
-		is.Equal(len(l.Ended(workers, time.Hour+cfg.End())), 0)
-		is.Equal(len(l.Ended(workers, time.Hour+cfg.End()+1)), 1)
+		l := lwlease.NewTracker(cfg)
+		is.True(!ended(l, first, time.Hour))
+		is.True(!ended(l, first, time.Hour+cfg.End()))
+		is.True(ended(l, first, time.Hour+cfg.End()+1))
+	})
+	t.Run("one given up is not renewed before it registers again", func(t *testing.T) {
+		is := is.New(t)
+		l := lwlease.NewTracker(cfg)
+		is.True(renews(l, first, 0))
+		is.True(ended(l, first, time.Hour))
+		is.True(!renews(l, first, time.Hour))
+		is.True(renews(l, second, time.Hour))
+		is.True(!renews(l, first, time.Hour))
 	})
-	t.Run("one given up is not renewed before it registers", func(t *testing.T) {
+	t.Run("giving up a former registration goes on; the new one is not touched", func(t *testing.T) {
 		is := is.New(t)
-		l := lwlease.NewTracker(cfg, 0)
-		l.Ended(workers, time.Hour)
-		_, ok := l.Renew("w", time.Hour)
-		is.True(!ok)
-		l.Registered("w", time.Hour)
-		_, ok = l.Renew("w", time.Hour)
-		is.True(ok)
+		l := lwlease.NewTracker(cfg)
+		is.True(renews(l, first, 0))
+		is.True(ended(l, first, time.Hour))
+		is.True(!ended(l, second, time.Hour)) // seen just now
+		is.True(!ended(l, first, time.Hour+1))
+		is.True(renews(l, second, time.Hour+2))
 	})
 }
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -53,9 +53,11 @@
 }
 
 // LoseWorker ends every attempt on a worker. The leader proposes it only when
-// the leases there have surely ended.
+// the leases there have surely ended. It has no effect on a worker that has
+// registered again meanwhile, since that one may hold new leases.
 type LoseWorker struct {
-	Worker lwunit.WorkerID `json:"worker"`
+	Worker     lwunit.WorkerID `json:"worker"`
+	Registered lwunit.Revision `json:"registered"`
 }
 
 // Placement puts one queued task on a worker.
--- a/internal/control/lwstate/model.go
+++ b/internal/control/lwstate/model.go
@@ -136,6 +136,7 @@
 type Worker struct {
 	Spec        WorkerSpec         `json:"spec"`
 	Incarnation lwunit.Incarnation `json:"incarnation"` // of its agent
+	Registered  lwunit.Revision    `json:"registered"`  // of the last registration
 	Drain       bool               `json:"drain,omitempty"`
 	Suspect     string             `json:"suspect,omitempty"` // why no task is placed here; empty if healthy
 	Lost        bool               `json:"lost,omitempty"`    // its leases have surely ended
--- a/internal/control/lwstate/state_test.go
+++ b/internal/control/lwstate/state_test.go
@@ -319,8 +319,18 @@
 				m.d.apply(lwstate.ResizeTasks{Resizes: []lwstate.Resize{{Task: task.ID, Token: task.Token, Reserve: reserve}}})
 			}
 		},
-		"report":      m.report,
-		"lose worker": func(t *rapid.T) { m.d.apply(lwstate.LoseWorker{Worker: worker(t)}) },
+		"report": m.report,
+		"lose worker of an older registration": func(t *rapid.T) {
+			w, _ := m.d.s.Worker(worker(t))
+			m.d.apply(lwstate.LoseWorker{Worker: w.Spec.ID, Registered: w.Registered - 1})
+			if after, _ := m.d.s.Worker(w.Spec.ID); after != w {
+				t.Fatalf("%+v became %+v", w, after)
+			}
+		},
+		"lose worker": func(t *rapid.T) {
+			w, _ := m.d.s.Worker(worker(t))
+			m.d.apply(lwstate.LoseWorker{Worker: w.Spec.ID, Registered: w.Registered})
+		},
 		"worker returns": func(t *rapid.T) {
 			w, _ := m.d.s.Worker(worker(t))
 			m.d.apply(lwstate.RegisterWorker{Spec: w.Spec, Incarnation: "i"})
--- a/internal/control/lwstate/worker.go
+++ b/internal/control/lwstate/worker.go
@@ -27,6 +27,7 @@
 	}
 	delete(s.reserves, c.Spec.ID)
 	w.Spec, w.Incarnation, w.Lost = c.Spec, c.Incarnation, false
+	w.Registered = s.c.Revision
 	return Result{}
 }
 
@@ -51,7 +52,7 @@
 // loseWorker ends every attempt on a worker whose leases have ended.
 func (s *State) loseWorker(c LoseWorker) Result {
 	w, ok := s.c.Workers[c.Worker]
-	if !ok || w.Lost {
+	if !ok || w.Lost || w.Registered != c.Registered {
 		return Result{}
 	}
 	w.Lost = true
