--- a/internal/worker/lwstandin/worker.go
+++ b/internal/worker/lwstandin/worker.go
@@ -76,6 +76,13 @@
 	return w.peak
 }
 
+// Starts returns how often attempts of a task were started.
+func (w *Worker) Starts(id lwunit.TaskID) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts[id]
+}
+
 // Running returns the attempts that run now.
 func (w *Worker) Running() []lwplatform.Attempt {
 	w.mu.Lock()
