--- a/internal/command/lwcommand/bench_capacity.go
+++ b/internal/command/lwcommand/bench_capacity.go
@@ -20,6 +20,7 @@
 their slopes; then the cores at 100 to 810 workers, and commits on 1, 3 and 5
 replicas.
 
+  --smallest N    fewest agents to start (default 10)
   --largest N     most agents to start (default 400)
   --seconds N     length of each measurement (default 20)
   --part TEXT     agents, cores, commits, syncs, history or all (default all)
@@ -38,9 +39,10 @@
 }
 
 func runBenchCapacity(args []string, io streams) error {
-	largest, seconds := 400, 20
+	smallest, largest, seconds := 10, 400, 20
 	part, output, plot := "all", outputTable, ""
 	p := newParser("bench capacity")
+	p.Int(&smallest, "", "smallest", "fewest agents to start")
 	p.Int(&largest, "", "largest", "most agents to start")
 	p.Int(&seconds, "", "seconds", "length of each measurement")
 	p.String(&part, "", "part", "agents, cores, commits or all")
@@ -49,7 +51,7 @@
 	if err := parse(p, args); err != nil {
 		return err
 	}
-	rep, err := measureCapacity(part, largest, time.Duration(seconds)*time.Second)
+	rep, err := measureCapacity(part, smallest, largest, time.Duration(seconds)*time.Second)
 	if err != nil {
 		return err
 	}
@@ -64,7 +66,7 @@
 	return writeCapacity(rep, io)
 }
 
-func measureCapacity(part string, largest int, window time.Duration) (capacityReport, error) {
+func measureCapacity(part string, smallest, largest int, window time.Duration) (capacityReport, error) {
 	var rep capacityReport
 	wants := func(name string) bool { return part == "all" || part == name }
 	if wants("cores") {
@@ -106,7 +108,7 @@
 	}
 	for _, busy := range []bool{false, true} {
 		for _, n := range []int{10, 50, 100, 200, 400} {
-			if n > largest {
+			if n < smallest || n > largest {
 				continue
 			}
 			s, err := lwcapacity.Measure(n, busy, window, zap.NewNop())
