--- a/internal/base/lwsetting/setting.go
+++ b/internal/base/lwsetting/setting.go
@@ -47,6 +47,11 @@
 	Agent *Agent   `json:"agent,omitempty"`
 	Serve *Replica `json:"control,omitempty"`
 
+	// ClusterKey is the secret itself, for platforms that render settings for
+	// each process and have no file to put it in.
+	InlineKey string  `json:"cluster_key,omitempty"`
+	Hosted    *Hosted `json:"hosted,omitempty"` // replaces the parts above on a provider's machines
+
 	key string
 }
 
@@ -105,6 +110,9 @@
 	if err != nil {
 		return Settings{}, err
 	}
+	if s.InlineKey != "" {
+		return s, nil
+	}
 	key, err := os.ReadFile(relative(path, s.ClusterKeyFile))
 	if err != nil {
 		return Settings{}, &Problem{path, lineOf(data, "cluster_key_file"), fmt.Sprintf("cluster_key_file must be a readable file: %v", err)}
@@ -145,6 +153,10 @@
 	if s.Entry != nil && s.Entry.DrainNotice == 0 {
 		s.Entry.DrainNotice = defaultNotice
 	}
+	s.key = s.InlineKey
+	if s.Hosted != nil {
+		s.Control = s.Hosted.ControlAddresses()
+	}
 	if field, detail := s.check(); detail != "" {
 		return Settings{}, &Problem{path, lineOf(data, field), detail}
 	}
@@ -231,6 +243,10 @@
 		return "cluster_key_file", "cluster_key_file is required"
 	case len(s.Control) == 0:
 		return "control_addresses", "control_addresses must name the RPC address of each control replica"
+	case s.InlineKey != "" && len(s.InlineKey) < minKeyBytes:
+		return "cluster_key", fmt.Sprintf("cluster_key must have at least %d bytes", minKeyBytes)
+	case s.Hosted != nil:
+		return s.Hosted.check()
 	case s.Entry == nil && s.Agent == nil && s.Serve == nil:
 		return "", "at least one of entry, agent and control is required"
 	case s.StopTime <= 0:
--- a/internal/command/lwcommand/demo.go
+++ b/internal/command/lwcommand/demo.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwlog"
 	"lavenderweir.example/lavenderweir/internal/command/lwdemo"
 )
 
@@ -29,7 +30,7 @@
 	log := zap.NewNop()
 	if verbose {
 		var err error
-		if log, err = newLogger("debug"); err != nil {
+		if log, err = newLogger("debug", lwlog.NewSink(io.err)); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/command/lwnode/hosted.go
@@ -0,0 +1,138 @@
+package lwnode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwsetting"
+	"lavenderweir.example/lavenderweir/internal/control/lwcontrol"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwlease"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
+	"lavenderweir.example/lavenderweir/internal/entry/lwintake"
+	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+	"lavenderweir.example/lavenderweir/internal/worker/lwrunner"
+	"lavenderweir.example/lavenderweir/platform"
+)
+
+// operatorDrain is how long operators' requests may still take at a stop; one
+// is answered within a second or retried elsewhere.
+const operatorDrain = time.Second
+
+// hosted is the one role of a process on a provider's machine.
+type hosted struct {
+	client *lwlink.Client
+	intake *lwintake.Intake
+	runner *lwrunner.Runner
+	server *lwhttp.Server // for operators, or for the worker beside an agent
+	cancel context.CancelFunc
+}
+
+func (n *Node) startHosted() error {
+	h := n.settings.Hosted
+	n.hosted = &hosted{client: lwlink.NewClient(n.endpoint, h.ControlAddresses())}
+	switch h.Role {
+	case lwsetting.HostedEntry:
+		return n.startIntake(h)
+	case lwsetting.HostedControl:
+		return n.startHostedControl(h)
+	default:
+		return n.startRunner(h)
+	}
+}
+
+func (n *Node) startIntake(h *lwsetting.Hosted) error {
+	var err error
+	n.hosted.intake, err = lwintake.Start(lwintake.Config{
+		Name: n.settings.Name, Address: h.CallersAddress, ReadinessAddress: h.ReadinessAddress,
+		Handler: platform.JobsHandler(n.hosted.client), ReadyHandler: platform.ReadyHandler,
+	}, n.hosted.client, n.log)
+	return err
+}
+
+func (n *Node) startHostedControl(h *lwsetting.Hosted) error {
+	if h.Folder != "" {
+		var err error
+		n.control, err = lwcontrol.Start(lwcontrol.Config{
+			Name: n.settings.Name, Address: h.RPCAddress(), Domain: n.settings.FailureDomain, Folder: h.Folder,
+			Replicas: h.ControlAddresses(), JoinOnly: !h.Found, Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(),
+			Dispatch: dispatchConfig(h.Bounds), Seed: rand.Uint64(),
+		}, n.endpoint, n.log)
+		if err != nil {
+			return err
+		}
+	}
+	var err error
+	n.hosted.server, err = lwhttp.Listen(lwhttp.Config{Name: "operators", Address: h.ControlAddress, Handler: platform.OperatorHandler(n.hosted.client)})
+	return err
+}
+
+func dispatchConfig(b lwsetting.HostedBounds) lwdispatch.Config {
+	cfg := lwdispatch.DefaultConfig()
+	cfg.Lease = min(cfg.Lease, b.HoldMax.Std())
+	if b.Stop > 0 {
+		cfg.StopTime = b.Stop.Std()
+	}
+	if b.SpreadFactor > 0 {
+		cfg.SpreadFactor = b.SpreadFactor
+	}
+	cfg.Restore = b.Restore.Std()
+	return cfg
+}
+
+func (n *Node) startRunner(h *lwsetting.Hosted) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.hosted.cancel = cancel
+	n.hosted.runner = lwrunner.New(n.settings.Name, platform.NewWorkerClient(h.WorkerAddress), n.hosted.client, n.log)
+	n.endpoint.Handle(lwlink.MethodOrders, func(_ context.Context, _ *lwrpc.Session, params json.RawMessage) (any, error) {
+		m, err := lwlink.Decode[lwlink.AgentOrders](params)
+		if err != nil {
+			return nil, err
+		}
+		n.hosted.runner.Orders(ctx, m)
+		return nil, nil
+	})
+	var err error
+	if n.hosted.server, err = lwhttp.Listen(lwhttp.Config{Name: "registry", Address: h.ControlAddress, Handler: platform.RegistryHandler(n.hosted.runner)}); err != nil {
+		cancel()
+		return err
+	}
+	go n.hosted.runner.Run(ctx)
+	return nil
+}
+
+// stop stops the role gracefully; what is left when ctx ends is cut off.
+func (h *hosted) stop(ctx context.Context, log *zap.Logger) {
+	if h.intake != nil {
+		h.intake.Stop(ctx)
+	}
+	if h.server != nil {
+		call, cancel := context.WithTimeout(ctx, operatorDrain)
+		if err := h.server.Drain(call); err != nil {
+			log.Warn("requests cut off", zap.Error(err))
+		}
+		cancel()
+		h.server.Close()
+	}
+	if h.cancel != nil {
+		h.cancel()
+	}
+}
+
+// Reload takes in settings that changed while the process runs: the seeds. The
+// rest counts from the next start.
+func (n *Node) Reload(s lwsetting.Settings) error {
+	if n.hosted == nil || s.Hosted == nil {
+		return fmt.Errorf("reload: only the settings of a hosted process can change while it runs")
+	}
+	n.hosted.client.SetSeeds(s.Hosted.ControlAddresses())
+	n.log.Info("settings reloaded", zap.Strings("seeds", s.Hosted.Seeds))
+	return nil
+}
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -32,6 +32,8 @@
 const (
 	incarnationBytes = 8
 	collectAt        = 50 // percent of growth between collections
+	hostedCollectAt  = 200
+	hostedHeapShare  = 0.6 // of the memory that a provider gives
 )
 
 // Options are what tests and measurements set beside the settings.
@@ -49,22 +51,26 @@
 	control  *lwcontrol.Node
 	agent    *lwagent.Agent
 	entry    *lwentry.Entry
+	hosted   *hosted // in place of the roles above, but for control
 	stopped  sync.Once
 }
 
 // Start starts the roles that the settings name.
 func Start(s lwsetting.Settings, opts Options, log *zap.Logger) (*Node, error) {
-	debug.SetMemoryLimit(int64(s.MemoryLimit))
-	debug.SetGCPercent(collectAt)
+	limitMemory(s)
 	if opts.Lease == (lwlease.Config{}) {
 		opts.Lease = lwlease.DefaultConfig()
 	}
 	n := &Node{settings: s, log: log.With(zap.String("node", s.Name))}
 	var err error
-	if n.endpoint, err = lwrpc.Listen(s.RPCAddress, s.ClusterKey()); err != nil {
+	if n.endpoint, err = lwrpc.Listen(rpcAddress(s), s.ClusterKey()); err != nil {
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
 	}
-	if err := n.startRoles(opts); err != nil {
+	start := func() error { return n.startRoles(opts) }
+	if s.Hosted != nil {
+		start = n.startHosted
+	}
+	if err := start(); err != nil {
 		n.Stop(context.Background())
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
 	}
@@ -72,6 +78,31 @@
 	return n, nil
 }
 
+// rpcAddress returns where the process listens for others; only control does
+// on a provider's machine.
+func rpcAddress(s lwsetting.Settings) string {
+	switch {
+	case s.Hosted == nil:
+		return s.RPCAddress
+	case s.Hosted.Role == lwsetting.HostedControl:
+		return s.Hosted.RPCAddress()
+	default:
+		return ""
+	}
+}
+
+// limitMemory bounds the heap: what a provider gives is a hard limit, which
+// also counts stacks and what the kernel holds.
+func limitMemory(s lwsetting.Settings) {
+	if s.Hosted == nil {
+		debug.SetMemoryLimit(int64(s.MemoryLimit))
+		debug.SetGCPercent(collectAt)
+		return
+	}
+	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * hostedHeapShare))
+	debug.SetGCPercent(hostedCollectAt)
+}
+
 func (n *Node) startRoles(opts Options) error {
 	s := n.settings
 	client := lwlink.NewClient(n.endpoint, s.Control)
@@ -184,6 +215,9 @@
 }
 
 func (n *Node) stop(ctx context.Context) {
+	if n.hosted != nil {
+		n.hosted.stop(ctx, n.log)
+	}
 	if n.entry != nil {
 		n.entry.Stop(ctx)
 	}
--- a/internal/control/lwcontrol/apply.go
+++ b/internal/control/lwcontrol/apply.go
@@ -53,6 +53,9 @@
 			r.log.Fatal("committed command does not decode", zap.Uint64("index", uint64(e.Index)), zap.Error(err))
 		}
 		res = r.state.Apply(lwunit.Revision(e.Index), at, cmd)
+		if r.observer != nil {
+			r.observer(lwunit.Revision(e.Index), cmd)
+		}
 		appliedTotal.Add(1)
 	} else {
 		r.state.SkipTo(lwunit.Revision(e.Index))
--- a/internal/control/lwcontrol/bootstrap.go
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -17,12 +17,14 @@
 
 // statusResult tells another replica what this one is.
 type statusResult struct {
-	Replica lwunit.ReplicaID     `json:"replica"`
-	Cluster string               `json:"cluster"` // empty before it has joined
-	Address string               `json:"address"`
-	Domain  lwunit.FailureDomain `json:"domain"`
-	Applied uint64               `json:"applied"`
-	Hash    string               `json:"hash,omitempty"`
+	Replica lwunit.ReplicaID          `json:"replica"`
+	Cluster string                    `json:"cluster"` // empty before it has joined
+	Address string                    `json:"address"`
+	Domain  lwunit.FailureDomain      `json:"domain"`
+	Applied uint64                    `json:"applied"`
+	Hash    string                    `json:"hash,omitempty"`
+	Leads   bool                      `json:"leads,omitempty"`
+	Members map[lwunit.ReplicaID]bool `json:"members,omitempty"` // if it leads
 }
 
 // initParams founds a group.
@@ -55,7 +57,14 @@
 	res.Cluster = n.contents.Identity.Cluster
 	n.mu.RUnlock()
 	if r := n.current(); r != nil {
-		res.Applied = uint64(r.current().applied)
+		v := r.current()
+		res.Applied = uint64(v.applied)
+		if res.Leads = r.stillLeads(v.term); res.Leads {
+			res.Members = make(map[lwunit.ReplicaID]bool)
+			for _, m := range v.membership.Members() {
+				res.Members[m.ID] = true
+			}
+		}
 	}
 	return res, nil
 }
@@ -86,17 +95,24 @@
 	return nil
 }
 
+// tryJoin asks the first members what they are. One that belongs to a group is
+// enough to join it; to found one, all must have answered that they are new.
 func (n *Node) tryJoin(ctx context.Context) error {
-	var members []lwreplica.Member
-	for _, address := range n.cfg.Replicas {
-		st, err := n.askStatus(ctx, address)
-		if err != nil {
-			return err
-		}
+	statuses, err := n.askAll(ctx)
+	for _, st := range statuses {
 		if st.Cluster != "" {
 			return n.askJoin(ctx)
 		}
-		members = append(members, lwreplica.Member{ID: st.Replica, Address: address, Domain: st.Domain})
+	}
+	if err != nil {
+		return err
+	}
+	if n.cfg.JoinOnly {
+		return lwfault.New(lwfault.Unavailable, "no replica belongs to a group yet")
+	}
+	members := make([]lwreplica.Member, 0, len(statuses))
+	for _, st := range statuses {
+		members = append(members, lwreplica.Member{ID: st.Replica, Address: st.Address, Domain: st.Domain})
 	}
 	founder := slices.MinFunc(members, func(a, b lwreplica.Member) int {
 		return compareIDs(a.ID, b.ID)
@@ -107,6 +123,34 @@
 	return n.found(ctx, lwreplica.Membership{Voters: members})
 }
 
+// askAll asks every first member at the same time; the error is of one that
+// did not answer.
+func (n *Node) askAll(ctx context.Context) ([]statusResult, error) {
+	type answer struct {
+		status statusResult
+		err    error
+	}
+	answers := make(chan answer, len(n.cfg.Replicas))
+	for _, address := range n.cfg.Replicas {
+		go func() {
+			st, err := n.askStatus(ctx, address)
+			st.Address = address
+			answers <- answer{st, err}
+		}()
+	}
+	var list []statusResult
+	var failed error
+	for range n.cfg.Replicas {
+		a := <-answers
+		if a.err != nil {
+			failed = a.err
+			continue
+		}
+		list = append(list, a.status)
+	}
+	return list, failed
+}
+
 func compareIDs(a, b lwunit.ReplicaID) int {
 	switch {
 	case a < b:
@@ -209,10 +253,10 @@
 		if address == n.cfg.Address {
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, bootstrapTimeout)
-		var res joinResult
-		err := n.endpoint.Peer(address).Call(call, methodJoin, joinParams{me}, &res)
-		cancel()
+		res, err := n.joinAt(ctx, address, me)
+		if f := lwfault.As(err); err != nil && f.Kind == lwfault.NotLeader && f.Leader != "" {
+			res, err = n.joinAt(ctx, f.Leader, me)
+		}
 		if err == nil {
 			return n.adopt(lwreplica.Membership{Voters: res.Membership.Voters, Learners: res.Membership.Learners}, res.Cluster)
 		}
@@ -221,6 +265,45 @@
 	return last
 }
 
+func (n *Node) joinAt(ctx context.Context, address string, me lwreplica.Member) (joinResult, error) {
+	call, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	defer cancel()
+	var res joinResult
+	err := n.endpoint.Peer(address).Call(call, methodJoin, joinParams{me}, &res)
+	return res, err
+}
+
+// stayMember asks to be added again when the group has replaced this replica
+// while it was away. It knows by hearing from no leader.
+func (n *Node) stayMember(ctx context.Context, r *replica) {
+	ticker := time.NewTicker(rejoinInterval)
+	defer ticker.Stop()
+	for quiet := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if r.current().leader != "" {
+			quiet = 0
+			continue
+		}
+		if quiet++; quiet < rejoinAfter {
+			continue
+		}
+		statuses, _ := n.askAll(ctx) // those that do not answer cannot help
+		for _, st := range statuses {
+			if st.Leads && !st.Members[n.id] {
+				n.log.Info("this replica was replaced; it asks to join again")
+				if err := n.askJoin(ctx); err != nil {
+					n.log.Warn("not joined again yet", zap.Error(err))
+				}
+				break
+			}
+		}
+	}
+}
+
 // onJoin adds a learner. It is refused while its address still belongs to a
 // voter that answers.
 func (n *Node) onJoin(ctx context.Context, p joinParams) (joinResult, error) {
@@ -266,13 +349,10 @@
 	if v.role != lwreplica.Leader {
 		return &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddr}
 	}
-	has := func(list []lwreplica.Member, address string) bool {
-		return slices.ContainsFunc(list, func(m lwreplica.Member) bool { return m.Address == address })
-	}
 	switch {
-	case has(v.membership.Voters, p.New) && !has(v.membership.Voters, p.Old):
+	case hasAddress(v.membership.Voters, p.New) && !hasAddress(v.membership.Voters, p.Old):
 		return nil
-	case !has(v.membership.Learners, p.New):
+	case !hasAddress(v.membership.Learners, p.New):
 		return lwfault.New(lwfault.NotFound, "no replica at %s has joined as a learner; start one there first", p.New)
 	}
 	n.mu.Lock()
@@ -286,15 +366,35 @@
 
 // placeOf returns the address of the voter whose place a learner may take: its
 // own, or the one that an operator named.
-func (n *Node) placeOf(l lwreplica.Member) string {
+func (n *Node) placeOf(v view, l lwreplica.Member) string {
 	n.mu.RLock()
-	defer n.mu.RUnlock()
-	if old, ok := n.replacing[l.Address]; ok {
+	old, ok := n.replacing[l.Address]
+	n.mu.RUnlock()
+	if ok {
 		return old
 	}
+	if at := lostVoter(v); at != "" && !hasAddress(v.membership.Voters, l.Address) {
+		return at
+	}
 	return l.Address
 }
 
+func hasAddress(list []lwreplica.Member, address string) bool {
+	return slices.ContainsFunc(list, func(m lwreplica.Member) bool { return m.Address == address })
+}
+
+// lostVoter returns the address of the voter that has been silent longest,
+// beyond what a restart takes, or "".
+func lostVoter(v view) string {
+	at, longest := "", lostAfter
+	for _, m := range v.matches {
+		if v.membership.IsVoter(m.member.ID) && m.member.ID != v.leader && m.since >= longest {
+			at, longest = m.member.Address, m.since
+		}
+	}
+	return at
+}
+
 // hasPlace reports whether a learner is to become a voter. One that nobody
 // asked for stays a learner, so that a group does not grow by accident.
 func (n *Node) hasPlace(v view, l lwreplica.Member) bool {
@@ -302,8 +402,8 @@
 	_, named := n.replacing[l.Address]
 	started := n.promoting[l.ID]
 	n.mu.RUnlock()
-	atAddress := slices.ContainsFunc(v.membership.Voters, func(m lwreplica.Member) bool { return m.Address == l.Address })
-	return named || started || atAddress || len(v.membership.Voters) < len(n.cfg.Replicas)
+	atAddress := hasAddress(v.membership.Voters, l.Address)
+	return named || started || atAddress || lostVoter(v) != "" || len(v.membership.Voters) < len(n.cfg.Replicas)
 }
 
 // repairStep moves the membership one safe step on: a learner that has caught
@@ -314,22 +414,37 @@
 		if !caughtUp(v, l) || !n.hasPlace(v, l) {
 			continue
 		}
-		n.mu.Lock()
-		if n.promoting == nil {
-			n.promoting = make(map[lwunit.ReplicaID]bool)
+		place := n.placeOf(v, l)
+		if n.removedFor(l) {
+			place = "" // its place is free already
 		}
-		n.promoting[l.ID] = true
-		n.mu.Unlock()
-		next, why := nextMembership(v, l, n.placeOf(l))
+		next, why := nextMembership(v, l, place)
 		if err := n.changeMembership(ctx, r, next); err != nil {
 			n.log.Warn("membership not changed", zap.Error(err))
 			return
 		}
+		n.noteRemoval(l)
 		n.log.Info("membership changed", zap.String("replica", string(l.ID)), zap.String("step", why))
 		return
 	}
 }
 
+// removedFor reports whether a voter was removed to make room for a learner.
+func (n *Node) removedFor(l lwreplica.Member) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.promoting[l.ID]
+}
+
+func (n *Node) noteRemoval(l lwreplica.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.promoting == nil {
+		n.promoting = make(map[lwunit.ReplicaID]bool)
+	}
+	n.promoting[l.ID] = true
+}
+
 // nextMembership returns the membership that brings learner l closer to a
 // vote: first the voter at the address whose place it takes is removed, then l
 // is promoted.
--- /dev/null
+++ b/internal/control/lwcontrol/dispatch.go
@@ -0,0 +1,312 @@
+package lwcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwlog"
+	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+const (
+	dispatchTick   = 100 * time.Millisecond // between looks at leases and repeated orders
+	jobRetention   = 4 * time.Minute        // of an ended job's state
+	forgetInterval = 20 * time.Second
+	ordersTimeout  = 500 * time.Millisecond
+)
+
+var (
+	dispatchTime  = lwmetric.NewHistogram("dispatch_decide_time")
+	endsRecorded  = lwmetric.Counter("dispatch_ends_recorded_total")
+	ordersSent    = lwmetric.Counter("dispatch_orders_sent_total")
+	ordersLost    = lwmetric.Counter("dispatch_orders_unsent_total")
+	reportsServed = lwmetric.Counter("dispatch_reports_total")
+)
+
+// change is a committed command about queues.
+type change struct {
+	revision lwunit.Revision
+	command  lwstate.Command
+}
+
+// dispatcher drives a lwdispatch.Core while this replica leads. It begins
+// afresh with each term.
+type dispatcher struct {
+	node *Node
+	kick chan struct{}
+
+	queue struct { // filled by the replica's driver, which must not wait
+		mu   sync.Mutex
+		list []change
+	}
+
+	mu        sync.Mutex
+	term      lwreplica.Term
+	core      *lwdispatch.Core // nil before the first term that this replica leads
+	since     lwunit.Revision  // what the core was made from
+	sessions  map[lwjob.WorkerLife]*lwrpc.Session
+	ends      []lwdispatch.WorkerEnd // to be proposed
+	recording bool                   // a proposal of ends is under way
+	forgot    time.Duration
+}
+
+func newDispatcher(n *Node) *dispatcher {
+	return &dispatcher{node: n, kick: make(chan struct{}, 1)}
+}
+
+// applied is told of each committed command, in order.
+func (d *dispatcher) applied(rev lwunit.Revision, c lwstate.Command) {
+	switch c.(type) {
+	case lwstate.Configure, lwstate.AcceptJob, lwstate.CancelSteps, lwstate.RejectSteps, lwstate.RecordEnds, lwstate.ChangeRoster:
+	default:
+		return
+	}
+	d.queue.mu.Lock()
+	d.queue.list = append(d.queue.list, change{rev, c})
+	d.queue.mu.Unlock()
+	d.wake()
+}
+
+func (d *dispatcher) wake() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// enter locks the dispatcher and brings its core up to date. It fails, with
+// the lock released, unless this replica leads and holds its lease.
+func (d *dispatcher) enter(r *replica) error {
+	v := r.current()
+	if !r.stillLeads(v.term) {
+		return &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddr}
+	}
+	d.mu.Lock()
+	if d.core == nil || d.term != v.term {
+		d.begin(r, v.term)
+	}
+	d.drain(r)
+	d.core.Advance(r.now(), wallClock())
+	return nil
+}
+
+func wallClock() lwunit.Millis { return lwunit.Millis(time.Now().UnixMilli()) }
+
+// begin makes the core of a new term from the replicated record.
+func (d *dispatcher) begin(r *replica, term lwreplica.Term) {
+	d.term = term
+	d.sessions = make(map[lwjob.WorkerLife]*lwrpc.Session)
+	d.ends, d.recording = nil, false
+	r.read(func(s *lwstate.State) {
+		d.since = s.Revision()
+		in := lwdispatch.Inherited{Config: s.Queues().Config(), Roster: s.Queues().Roster()}
+		s.Queues().Each(func(j *lwjob.Job) { in.Jobs = append(in.Jobs, j) })
+		d.core = lwdispatch.New(d.node.cfg.Dispatch, uint64(term), r.now(), wallClock(), in)
+	})
+	d.node.log.Info("dispatch began", zap.Uint64("term", uint64(term)), zap.Uint64("revision", uint64(d.since)))
+}
+
+// drain tells the core of what was committed since.
+func (d *dispatcher) drain(r *replica) {
+	d.queue.mu.Lock()
+	list := d.queue.list
+	d.queue.list = nil
+	d.queue.mu.Unlock()
+	if len(list) == 0 {
+		return
+	}
+	r.read(func(s *lwstate.State) {
+		for _, ch := range list {
+			if ch.revision > d.since {
+				d.note(s.Queues(), ch.command)
+			}
+		}
+	})
+}
+
+func (d *dispatcher) note(t *lwjob.Table, c lwstate.Command) {
+	switch c := c.(type) {
+	case lwstate.Configure:
+		d.core.Configure(t.Config())
+	case lwstate.AcceptJob:
+		if j := t.Job(c.Job.Spec.ID); j != nil {
+			d.core.JobAccepted(j)
+		}
+	case lwstate.CancelSteps:
+		d.noteEnded(t, c.Job)
+	case lwstate.RejectSteps:
+		d.noteEnded(t, c.Job)
+	case lwstate.RecordEnds:
+		for _, e := range c.Ends {
+			if id, _, err := lwjob.ParseTaskName(e.Task); err == nil {
+				d.noteEnded(t, id)
+			}
+		}
+	case lwstate.ChangeRoster:
+		for _, w := range c.Enrol {
+			d.core.Enrolled(w)
+		}
+	}
+}
+
+func (d *dispatcher) noteEnded(t *lwjob.Table, id lwunit.JobID) {
+	if j := t.Job(id); j != nil && j.State.Final() {
+		d.core.JobEnded(id, "the job is "+string(j.State))
+	}
+}
+
+// run decides whenever something changed.
+func (d *dispatcher) run(ctx context.Context, r *replica) {
+	ticker := time.NewTicker(dispatchTick)
+	defer ticker.Stop()
+	for {
+		tick := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			tick = true
+		case <-d.kick:
+		}
+		if err := d.enter(r); err != nil {
+			continue
+		}
+		began := time.Now()
+		if tick {
+			d.core.Tick()
+			d.forget(ctx, r)
+		}
+		d.core.Schedule()
+		out := d.core.Take()
+		d.perform(ctx, r, out)
+		d.mu.Unlock()
+		dispatchTime.Observe(time.Since(began))
+	}
+}
+
+// perform carries out effects; the dispatcher is locked.
+func (d *dispatcher) perform(ctx context.Context, r *replica, out lwdispatch.Effects) {
+	for _, x := range out.Decisions {
+		logDecision(d.node.decisions, x)
+	}
+	if len(out.Enrol) > 0 || len(out.Dismiss) > 0 {
+		go d.propose(ctx, r, lwstate.ChangeRoster{Enrol: out.Enrol, Dismiss: out.Dismiss})
+	}
+	for _, life := range out.Dismiss {
+		delete(d.sessions, life)
+	}
+	for _, id := range out.Reject {
+		go d.propose(ctx, r, lwstate.RejectSteps{Job: id})
+	}
+	d.ends = append(d.ends, out.Ends...)
+	d.record(ctx, r)
+	for _, o := range out.Orders {
+		d.send(ctx, r, o)
+	}
+}
+
+func (d *dispatcher) propose(ctx context.Context, r *replica, c lwstate.Command) {
+	if _, _, err := r.propose(ctx, c); err != nil {
+		d.node.log.Warn("dispatcher's command not accepted", zap.Error(err))
+	}
+}
+
+// send passes orders to an agent if this replica still leads. What is lost is
+// repeated when no report shows it.
+func (d *dispatcher) send(ctx context.Context, r *replica, o lwdispatch.WorkerOrders) {
+	session := d.sessions[o.Life]
+	if session == nil || !r.stillLeads(d.term) {
+		ordersLost.Add(int64(len(o.Orders)))
+		return
+	}
+	token, cursor := d.core.CursorOf(o.Life)
+	m := lwlink.AgentOrders{Life: o.Life, Token: token, Cursor: cursor}
+	for _, x := range o.Orders {
+		m.Orders = append(m.Orders, lwlink.EncodeOrder(x))
+	}
+	call, cancel := context.WithTimeout(ctx, ordersTimeout)
+	defer cancel()
+	if err := session.Notify(call, lwlink.MethodOrders, m); err != nil {
+		ordersLost.Add(int64(len(o.Orders)))
+		return
+	}
+	ordersSent.Add(int64(len(o.Orders)))
+}
+
+// record proposes the ends that wait, one proposal at a time; those that come
+// meanwhile share the next.
+func (d *dispatcher) record(ctx context.Context, r *replica) {
+	if d.recording || len(d.ends) == 0 {
+		return
+	}
+	batch, term := d.ends, d.term
+	d.ends, d.recording = nil, true
+	cmd := lwstate.RecordEnds{}
+	for _, e := range batch {
+		cmd.Ends = append(cmd.Ends, e.Row.End)
+	}
+	go func() {
+		_, _, err := r.propose(ctx, cmd)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.term != term {
+			return // the workers list these ends to the next leader again
+		}
+		d.recording = false
+		if err != nil {
+			d.node.log.Warn("ends not recorded yet", zap.Int("ends", len(batch)), zap.Error(err))
+			d.ends = append(batch, d.ends...)
+			d.wake()
+			return
+		}
+		endsRecorded.Add(int64(len(batch)))
+		d.acknowledge(ctx, r, batch)
+		d.record(ctx, r)
+		d.wake()
+	}()
+}
+
+// acknowledge lets workers forget the ends that are recorded.
+func (d *dispatcher) acknowledge(ctx context.Context, r *replica, batch []lwdispatch.WorkerEnd) {
+	touched := make(map[lwjob.WorkerLife]bool)
+	for _, e := range batch {
+		d.core.EndsRecorded(e.Life, e.Row.Number)
+		touched[e.Life] = true
+	}
+	for life := range touched {
+		d.send(ctx, r, lwdispatch.WorkerOrders{Life: life})
+	}
+}
+
+// forget drops the record of jobs that ended long ago.
+func (d *dispatcher) forget(ctx context.Context, r *replica) {
+	if r.now()-d.forgot < forgetInterval {
+		return
+	}
+	d.forgot = r.now()
+	var before lwunit.Millis
+	due := false
+	r.read(func(s *lwstate.State) {
+		before = s.Clock().Add(-jobRetention)
+		s.Queues().Each(func(j *lwjob.Job) { due = due || (j.State.Final() && j.Ended < before) })
+	})
+	if due {
+		go d.propose(ctx, r, lwstate.ForgetJobs{Before: before})
+	}
+}
+
+func logDecision(log *lwlog.Limited, x lwdispatch.Decision) {
+	log.Line(string(x.Kind), zap.String("job", string(x.Job)), zap.String("task", string(x.Task)), zap.Uint64("run", uint64(x.Run)),
+		zap.String("worker", string(x.Worker)), zap.String("reason", x.Reason), zap.Duration("age", x.Age), zap.Duration("slack", x.Slack))
+}
--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -332,5 +332,5 @@
 // lease at this moment.
 func (r *replica) stillLeads(term lwreplica.Term) bool {
 	v := r.current()
-	return v.leads && v.term == term && time.Now().Before(v.leaseUntil)
+	return v.leads && v.term == term && r.now() < v.leaseUntil
 }
--- a/internal/control/lwcontrol/leader.go
+++ b/internal/control/lwcontrol/leader.go
@@ -25,7 +25,7 @@
 	calmInterval   = 250 * time.Millisecond // while none does
 	loseInterval   = 500 * time.Millisecond
 	sweepInterval  = time.Minute
-	repairInterval = time.Second
+	repairInterval = 200 * time.Millisecond
 	nudgeTimeout   = time.Second
 )
 
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -12,8 +12,10 @@
 	"go.uber.org/zap"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwlog"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwlease"
 	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
@@ -28,6 +30,15 @@
 	bootstrapPause   = 300 * time.Millisecond
 	bootstrapTimeout = time.Second
 	replicaIDBytes   = 8
+
+	rejoinInterval = 500 * time.Millisecond
+	rejoinAfter    = 4 // intervals without a leader; elections end sooner
+	// lostAfter is how long a voter must be silent until a learner that has
+	// caught up may take its place: longer than a restart, shorter than it may
+	// take until the next VM is lost.
+	lostAfter = 1500 * time.Millisecond
+
+	decisionsPerSecond = 200 // lines of one kind in the decision log
 )
 
 // Config sets up a control node.
@@ -39,6 +50,8 @@
 	Replicas  []string             // RPC addresses of the first members, own one included
 	Lease     lwlease.Config
 	Placement lwplacement.Config
+	Dispatch  lwdispatch.Config
+	JoinOnly  bool // never founds a group: one exists already
 	Seed      uint64
 }
 
@@ -57,12 +70,14 @@
 	replacing map[string]string         // addresses: of a learner, to that of the voter it follows
 	promoting map[lwunit.ReplicaID]bool // learners on their way to a vote
 
-	initial   chan lwreplica.Membership // an accepted init
-	watchers  *watchers
-	leader    *leader
-	confirmer *confirmer
-	cancel    context.CancelFunc
-	done      chan error
+	initial    chan lwreplica.Membership // an accepted init
+	watchers   *watchers
+	leader     *leader
+	confirmer  *confirmer
+	dispatcher *dispatcher
+	decisions  *lwlog.Limited
+	cancel     context.CancelFunc
+	done       chan error
 }
 
 // Start opens the data folder and begins to serve.
@@ -86,8 +101,11 @@
 		initial: make(chan lwreplica.Membership, 1), watchers: newWatchers(), cancel: cancel, done: make(chan error, 1),
 	}
 	n.leader = newLeader(n)
+	n.dispatcher = newDispatcher(n)
+	n.decisions = lwlog.Limit(log, decisionsPerSecond)
 	n.confirmer = &confirmer{node: n}
 	n.handle()
+	n.handleQueues()
 	go func() {
 		n.done <- n.run(ctx)
 		close(n.done)
@@ -189,6 +207,9 @@
 	n.mu.Lock()
 	n.replica = r
 	n.mu.Unlock()
+	r.observer = n.dispatcher.applied
 	go n.leader.run(ctx, r)
+	go n.dispatcher.run(ctx, r)
+	go n.stayMember(ctx, r)
 	return r.run(ctx)
 }
--- /dev/null
+++ b/internal/control/lwcontrol/queue.go
@@ -0,0 +1,290 @@
+package lwcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+var (
+	jobsAccepted = lwmetric.Counter("queue_jobs_accepted_total")
+	jobsResent   = lwmetric.Counter("queue_jobs_resent_total")
+	jobsRefused  = lwmetric.Counter("queue_jobs_refused_total")
+	configsTaken = lwmetric.Counter("queue_configurations_total")
+)
+
+func (n *Node) handleQueues() {
+	serve(n, lwlink.MethodSubmitSteps, n.submitSteps)
+	serve(n, lwlink.MethodShowSteps, n.showSteps)
+	serve(n, lwlink.MethodCancelSteps, n.cancelSteps)
+	serve(n, lwlink.MethodConfigure, n.configure)
+	serve(n, lwlink.MethodConfiguration, n.configuration)
+	serve(n, lwlink.MethodStartWave, n.startWave)
+	serve(n, lwlink.MethodShowWave, n.showWave)
+	serve(n, lwlink.MethodReport, n.report)
+	serve(n, lwlink.MethodLeader, n.leaderProbe)
+}
+
+// serve registers a handler that needs the group this replica belongs to.
+func serve[P, R any](n *Node, method string, f func(context.Context, *replica, *lwrpc.Session, P) (R, error)) {
+	n.endpoint.Handle(method, func(ctx context.Context, s *lwrpc.Session, params json.RawMessage) (any, error) {
+		r := n.current()
+		if r == nil {
+			return nil, lwfault.New(lwfault.NotLeader, "this replica has not joined a group")
+		}
+		p, err := lwlink.Decode[P](params)
+		if err != nil {
+			return nil, err
+		}
+		return f(ctx, r, s, p)
+	})
+}
+
+type none struct{}
+
+// commit proposes a command. An error that leaves open whether the command
+// takes effect has kind Unknown.
+func (n *Node) commit(ctx context.Context, r *replica, c lwstate.Command) (lwstate.Result, error) {
+	_, res, err := r.propose(ctx, c)
+	switch lwfault.KindOf(err) {
+	case lwfault.NotLeader, lwfault.Overloaded:
+		return res, err
+	}
+	if err != nil {
+		return res, &lwfault.Fault{Kind: lwfault.Unknown, Detail: "no quorum answered in time", Cause: err}
+	}
+	return res, res.Err
+}
+
+// find returns the queue of a place and the job id that follows its prefix.
+func find(doc *lwconfig.Document, p lwlink.Place) (lwconfig.Queue, lwunit.JobID, error) {
+	if doc == nil {
+		return lwconfig.Queue{}, "", &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "there is no configuration yet", RetryAfter: time.Second}
+	}
+	q, ok := doc.Find(p.Host, p.Path)
+	if !ok {
+		return q, "", lwfault.New(lwfault.NotFound, "no queue for host %q and path %q", p.Host, p.Path)
+	}
+	return q, lwunit.JobID(p.Path[len(q.Key.Prefix):]), nil
+}
+
+func (n *Node) submitSteps(ctx context.Context, r *replica, _ *lwrpc.Session, p lwlink.SubmitSteps) (none, error) {
+	job, known, err := n.admit(r, p)
+	if err != nil {
+		jobsRefused.Add(1)
+		f := lwfault.As(err)
+		n.decisions.Line(string(lwdispatch.DecidedAdmission), zap.String("path", p.Place.Path), zap.String("outcome", string(f.Kind)), zap.String("reason", f.Detail))
+		return none{}, err
+	}
+	if known {
+		jobsResent.Add(1)
+		return none{}, nil
+	}
+	if _, err := n.commit(ctx, r, lwstate.AcceptJob{Job: job}); err != nil {
+		n.decisions.Line(string(lwdispatch.DecidedAdmission), zap.String("job", string(job.Spec.ID)), zap.String("outcome", "unknown"), zap.Error(err))
+		return none{}, err
+	}
+	jobsAccepted.Add(1)
+	n.decisions.Line(string(lwdispatch.DecidedAdmission), zap.String("job", string(job.Spec.ID)), zap.String("queue", job.Queue.Name), zap.String("outcome", "accepted"))
+	return none{}, nil
+}
+
+// admit decides whether a job is taken; known is set if it was before.
+func (n *Node) admit(r *replica, p lwlink.SubmitSteps) (job lwjob.Job, known bool, err error) {
+	if err := n.dispatcher.enter(r); err != nil {
+		return job, false, err
+	}
+	defer n.dispatcher.mu.Unlock()
+	r.read(func(s *lwstate.State) {
+		var q lwconfig.Queue
+		if q, p.Spec.ID, err = find(s.Queues().Config(), p.Place); err != nil {
+			return
+		}
+		p.Spec.Queue = q.Key
+		job = lwjob.Job{Spec: p.Spec, Queue: q, Term: uint64(n.dispatcher.term)}
+		old := s.Queues().Job(p.Spec.ID)
+		known = old != nil && old.Spec.Queue == q.Key
+	})
+	if err != nil || known {
+		return job, known, err
+	}
+	return job, false, job.Spec.Check()
+}
+
+func (n *Node) showSteps(_ context.Context, r *replica, _ *lwrpc.Session, p lwlink.Place) (lwlink.StepsStatus, error) {
+	var res lwlink.StepsStatus
+	if err := n.dispatcher.enter(r); err != nil {
+		return res, err
+	}
+	defer n.dispatcher.mu.Unlock()
+	var err error
+	r.read(func(s *lwstate.State) {
+		q, id, e := find(s.Queues().Config(), p)
+		if e != nil {
+			err = e
+			return
+		}
+		if id == "" {
+			res.IsQueue = true
+			res.Pending = n.dispatcher.core.Pending(q.Key)
+			return
+		}
+		j := s.Queues().Job(id)
+		if j == nil || j.Spec.Queue != q.Key {
+			err = lwfault.New(lwfault.Expired, "job %s does not exist", id)
+			return
+		}
+		res.State = j.State
+		if j.State == lwjob.Queued && n.dispatcher.core.Started(id) {
+			res.State = lwjob.Running
+		}
+	})
+	if err == nil && !r.stillLeads(n.dispatcher.term) {
+		err = lwfault.New(lwfault.NotLeader, "leadership was lost")
+	}
+	return res, err
+}
+
+func (n *Node) cancelSteps(ctx context.Context, r *replica, _ *lwrpc.Session, p lwlink.Place) (none, error) {
+	if err := n.dispatcher.enter(r); err != nil {
+		return none{}, err
+	}
+	var id lwunit.JobID
+	var err error
+	ended := false
+	r.read(func(s *lwstate.State) {
+		var q lwconfig.Queue
+		if q, id, err = find(s.Queues().Config(), p); err != nil {
+			return
+		}
+		j := s.Queues().Job(id)
+		if j == nil || j.Spec.Queue != q.Key {
+			err = lwfault.New(lwfault.Expired, "job %s does not exist", id)
+			return
+		}
+		ended = j.State.Final()
+	})
+	n.dispatcher.mu.Unlock()
+	if err != nil || ended {
+		return none{}, err
+	}
+	_, err = n.commit(ctx, r, lwstate.CancelSteps{Job: id})
+	n.decisions.Line("job_cancel", zap.String("job", string(id)), zap.Bool("recorded", err == nil))
+	return none{}, err
+}
+
+func (n *Node) configure(ctx context.Context, r *replica, _ *lwrpc.Session, d lwconfig.Document) (none, error) {
+	if err := d.Check(); err != nil {
+		n.decisions.Line("configuration", zap.Int64("version", int64(d.Version)), zap.String("outcome", "invalid"), zap.Error(err))
+		return none{}, err
+	}
+	held, err := n.configuration(ctx, r, nil, none{})
+	if err != nil && lwfault.KindOf(err) != lwfault.NotFound {
+		return none{}, err
+	}
+	if err == nil && d.Version <= held.Version {
+		n.decisions.Line("configuration", zap.Int64("version", int64(d.Version)), zap.String("outcome", "no newer than the one in force"), zap.Int64("in_force", int64(held.Version)))
+		return none{}, nil
+	}
+	res, err := n.commit(ctx, r, lwstate.Configure{Document: d})
+	if err != nil {
+		return none{}, err
+	}
+	configsTaken.Add(1)
+	n.decisions.Line("configuration", zap.Int64("version", int64(d.Version)), zap.String("outcome", "in force"), zap.Bool("changed", res.Fresh))
+	return none{}, nil
+}
+
+func (n *Node) configuration(_ context.Context, r *replica, _ *lwrpc.Session, _ none) (lwconfig.Document, error) {
+	if err := n.dispatcher.enter(r); err != nil {
+		return lwconfig.Document{}, err
+	}
+	defer n.dispatcher.mu.Unlock()
+	var d *lwconfig.Document
+	r.read(func(s *lwstate.State) { d = s.Queues().Config() })
+	if !r.stillLeads(n.dispatcher.term) {
+		return lwconfig.Document{}, lwfault.New(lwfault.NotLeader, "leadership was lost")
+	}
+	if d == nil {
+		return lwconfig.Document{}, lwfault.New(lwfault.NotFound, "there is no configuration yet")
+	}
+	return *d, nil
+}
+
+func (n *Node) startWave(ctx context.Context, r *replica, _ *lwrpc.Session, w lwjob.Wave) (none, error) {
+	if err := n.dispatcher.enter(r); err != nil {
+		return none{}, err
+	}
+	n.dispatcher.mu.Unlock()
+	_, err := n.commit(ctx, r, lwstate.StartWave{Wave: w})
+	return none{}, err
+}
+
+func (n *Node) showWave(_ context.Context, r *replica, _ *lwrpc.Session, id lwjob.WaveID) (lwlink.WaveStatus, error) {
+	var res lwlink.WaveStatus
+	if err := n.dispatcher.enter(r); err != nil {
+		return res, err
+	}
+	defer n.dispatcher.mu.Unlock()
+	var err error
+	r.read(func(s *lwstate.State) {
+		w := s.Queues().Wave(id)
+		if w == nil {
+			err = lwfault.New(lwfault.NotFound, "wave %d is not known", id)
+			return
+		}
+		res.Completed = len(w.Left()) == 0
+	})
+	return res, err
+}
+
+// leaderProbe answers while this replica leads, and names the replicas.
+func (n *Node) leaderProbe(_ context.Context, r *replica, _ *lwrpc.Session, _ none) (lwlink.ReportReply, error) {
+	v := r.current()
+	if !r.stillLeads(v.term) {
+		return lwlink.ReportReply{}, &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddr}
+	}
+	return lwlink.ReportReply{Control: memberAddresses(v)}, nil
+}
+
+func memberAddresses(v view) []string {
+	var list []string
+	for _, m := range v.membership.Members() {
+		list = append(list, m.Address)
+	}
+	return list
+}
+
+// report takes in what an agent tells of its worker.
+func (n *Node) report(_ context.Context, r *replica, s *lwrpc.Session, m lwdispatch.Report) (lwlink.ReportReply, error) {
+	reportsServed.Add(1)
+	d := n.dispatcher
+	if err := d.enter(r); err != nil {
+		return lwlink.ReportReply{}, err
+	}
+	defer d.mu.Unlock()
+	g := d.core.Report(m)
+	if d.sessions[m.Info.Life] != s {
+		d.sessions[m.Info.Life] = s
+		d.core.Attached(m.Info.Life)
+	}
+	d.wake()
+	if !r.stillLeads(d.term) {
+		return lwlink.ReportReply{}, lwfault.New(lwfault.NotLeader, "leadership was lost")
+	}
+	return lwlink.ReportReply{
+		Token: g.Token, Lease: lwunit.Duration(g.Lease), Cursor: g.Cursor, Control: memberAddresses(r.current()),
+	}, nil
+}
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwclock"
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
@@ -29,7 +30,7 @@
 	snapshotEvery     = 20000 // applied entries
 	commandTimeout    = 5 * time.Second
 	diskCheckInterval = time.Second
-	leastFree         = 128 * lwunit.MiB // below it nothing new is accepted
+	leastFree         = 8 * lwunit.MiB // below it nothing new is accepted
 )
 
 var (
@@ -72,9 +73,10 @@
 	endpoint *lwrpc.Endpoint
 	id       lwunit.ReplicaID
 	events   chan event
-	start    time.Time
-	free     func() (lwunit.Bytes, error) // space left on the disk
-	full     atomic.Bool                  // too little to accept more
+	clock    lwclock.Clock
+	observer func(lwunit.Revision, lwstate.Command) // told of each command that is applied
+	free     func() (lwunit.Bytes, error)           // space left on the disk
+	full     atomic.Bool                            // too little to accept more
 
 	// Used by the driver goroutine only.
 	core      *lwreplica.Core
@@ -101,8 +103,8 @@
 	term       lwreplica.Term
 	leader     lwunit.ReplicaID
 	leaderAddr string
-	leads      bool // HoldsLease at the last step
-	leaseUntil time.Time
+	leads      bool          // HoldsLease at the last step
+	leaseUntil time.Duration // on the replica's clock
 	applied    lwreplica.Index
 	commit     lwreplica.Index
 	last       lwreplica.Index
@@ -123,7 +125,7 @@
 	}
 	state.SkipTo(lwunit.Revision(c.Restored.Snapshot.Index))
 	r := &replica{
-		log: log, wal: wal, endpoint: e, id: c.Identity.Replica, events: make(chan event, eventQueueLength), start: time.Now(), free: free,
+		log: log, wal: wal, endpoint: e, id: c.Identity.Replica, events: make(chan event, eventQueueLength), clock: lwclock.New(), free: free,
 		waiters: make(map[uint64]*waiter), atIndex: make(map[lwreplica.Index]*waiter), senders: make(map[lwunit.ReplicaID]*sender),
 		applied: c.Restored.Snapshot.Index, lastSnap: c.Restored.Snapshot.Index, state: state, changed: make(chan struct{}),
 		written: make(chan writtenSnapshot, 1),
@@ -133,7 +135,7 @@
 	return r, nil
 }
 
-func (r *replica) now() time.Duration { return time.Since(r.start) }
+func (r *replica) now() time.Duration { return r.clock.Now() }
 
 // run drives the core until ctx ends or the disk fails.
 func (r *replica) run(ctx context.Context) error {
@@ -308,7 +310,7 @@
 func (r *replica) publish() {
 	v := view{
 		role: r.core.Role(), term: r.core.Term(), leader: r.core.LeaderID(), leads: r.core.HoldsLease(r.now()),
-		leaseUntil: r.start.Add(r.core.LeaseEnd()),
+		leaseUntil: r.core.LeaseEnd(),
 		applied:    r.applied, commit: r.core.CommitIndex(), last: r.core.LastIndex(), membership: r.core.Membership(),
 	}
 	for _, m := range v.membership.Members() {
--- /dev/null
+++ b/internal/control/lwdispatch/place.go
@@ -0,0 +1,273 @@
+package lwdispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+)
+
+// Schedule starts what may start now, the most urgent first.
+func (c *Core) Schedule() {
+	c.wake()
+	type candidate struct {
+		step  *step
+		slack time.Duration
+	}
+	list := make([]candidate, 0, len(c.ready))
+	for _, s := range c.ready {
+		if c.mayStart(s) {
+			list = append(list, candidate{s, c.slack(s)})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return compareUrgency(a.step, a.slack, b.step, b.slack) })
+	for _, x := range list {
+		c.placeStep(x.step, x.slack)
+	}
+}
+
+// compareUrgency orders steps: those that can still be on time before those
+// that cannot, then by the queue's priority, then by the time they may wait.
+func compareUrgency(a *step, slackA time.Duration, b *step, slackB time.Duration) int {
+	if late := boolOrder(slackA < 0, slackB < 0); late != 0 {
+		return late
+	}
+	if d := int(a.job.queue.Priority) - int(b.job.queue.Priority); d != 0 {
+		return d
+	}
+	switch {
+	case slackA < slackB:
+		return -1
+	case slackA > slackB:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// mayStart reports whether a step has a task without a run. A job of an
+// earlier term may still run on workers that have not reported.
+func (c *Core) mayStart(s *step) bool {
+	if s.job.stopped || (s.job.term < c.term && len(c.missing) > 0) {
+		return false
+	}
+	for _, t := range s.tasks {
+		if c.wants(t) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) wants(t *task) bool {
+	return !t.done && len(t.runs) == 0 && c.now >= t.after
+}
+
+func (c *Core) placeStep(s *step, slack time.Duration) {
+	if s.spec.Gang {
+		c.placeGang(s, slack)
+		return
+	}
+	for _, t := range s.tasks {
+		if !c.wants(t) {
+			continue
+		}
+		w := c.choose(s)
+		if w == nil {
+			return // its siblings need the same
+		}
+		c.start(t, w, t.last+1, slack)
+	}
+}
+
+// choose returns the worker that suits a step best now, or nil.
+func (c *Core) choose(s *step) *worker {
+	var best *worker
+	bestCost := math.Inf(1)
+	for _, w := range c.order {
+		if !c.eligible(s, w) || !c.fits(s, w) {
+			continue
+		}
+		if cost := c.cost(s, w); cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// eligible reports whether the rules let a step's tasks run on a worker.
+func (c *Core) eligible(s *step, w *worker) bool {
+	switch {
+	case !w.enrolled || !w.current || w.silent || w.info.Draining || w.info.Service != s.job.queue.Service:
+		return false
+	case s.spec.RequiredLabel != "" && !slices.Contains(w.info.Labels, s.spec.RequiredLabel):
+		return false
+	case s.spec.MaxPerWorker > 0 && w.countOf(s) >= s.spec.MaxPerWorker:
+		return false
+	}
+	return c.trusted(w)
+}
+
+// countOf returns how many tasks of a step may be on the worker.
+func (w *worker) countOf(s *step) int {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// fits reports whether a task of the step has room. Filling tasks take only
+// processors that are free of other work.
+func (c *Core) fits(s *step, w *worker) bool {
+	need := s.spec.Need
+	free := w.info.Capacity.Sub(w.used)
+	if s.spec.Filling {
+		spare := free.Millicores - w.filling
+		need.Millicores = 0
+		return need.Fits(free) && (s.spec.Need.Millicores <= spare || w.filling == 0)
+	}
+	return need.Fits(free)
+}
+
+// cost is lower where a task does better: near its data, and on workers with
+// more free room.
+func (c *Core) cost(s *step, w *worker) float64 {
+	capacity := max(1, float64(w.info.Capacity.Millicores))
+	load := float64(w.used.Millicores+w.filling) / capacity
+	memory := float64(w.used.Memory) / max(1, float64(w.info.Capacity.Memory))
+	cost := max(load, memory)
+	if s.spec.PreferredRack != "" && !slices.Contains(w.info.Labels, string(s.spec.PreferredRack)) {
+		cost += c.cfg.SpreadFactor
+	}
+	if s.spec.LongRunning {
+		cost += float64(w.countOf(s)) // a lost worker then takes few of a step
+	}
+	if w.info.Cold > 0 {
+		cost += 1
+	}
+	return cost
+}
+
+// placeGang starts all tasks of a gang at once or none. Tasks that depend on
+// being near each other are kept on one rack if it has room.
+func (c *Core) placeGang(s *step, slack time.Duration) {
+	for _, t := range s.tasks {
+		if t.done || len(t.runs) > 0 || c.now < t.after {
+			return // some of the run before may still be there
+		}
+	}
+	var chosen []*worker
+	if s.spec.RackSensitive {
+		chosen = c.rackForGang(s)
+	}
+	if chosen == nil {
+		chosen = c.spreadGang(s, c.order)
+	}
+	if chosen == nil {
+		return
+	}
+	var id lwjob.RunID
+	saved := ""
+	for _, t := range s.tasks {
+		id = max(id, t.last+1)
+		if t.saved != "" {
+			saved = t.saved
+		}
+	}
+	for i, t := range s.tasks {
+		t.saved = saved
+		c.start(t, chosen[i], id, slack)
+	}
+}
+
+// rackForGang looks for one rack that holds the whole gang.
+func (c *Core) rackForGang(s *step) []*worker {
+	racks := make(map[string][]*worker)
+	var names []string
+	for _, w := range c.order {
+		for _, l := range w.info.Labels {
+			if racks[l] == nil {
+				names = append(names, l)
+			}
+			racks[l] = append(racks[l], w)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return len(racks[a]) - len(racks[b]) })
+	for _, name := range names {
+		if len(racks[name]) == len(c.order) {
+			continue // a label that all workers have is no rack
+		}
+		if chosen := c.spreadGang(s, racks[name]); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// spreadGang assigns each member a worker of the list, or returns nil.
+func (c *Core) spreadGang(s *step, list []*worker) []*worker {
+	type room struct {
+		free  lwunit.Resources
+		count int
+	}
+	rooms := make(map[*worker]*room)
+	for _, w := range list {
+		if c.eligible(s, w) {
+			rooms[w] = &room{w.info.Capacity.Sub(w.used), w.countOf(s)}
+		}
+	}
+	chosen := make([]*worker, 0, len(s.tasks))
+	for range s.tasks {
+		var best *worker
+		for _, w := range list {
+			r := rooms[w]
+			if r == nil || !s.spec.Need.Fits(r.free) || (s.spec.MaxPerWorker > 0 && r.count >= s.spec.MaxPerWorker) {
+				continue
+			}
+			if best == nil || r.free.Millicores > rooms[best].free.Millicores {
+				best = w
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		rooms[best].free = rooms[best].free.Sub(s.spec.Need)
+		rooms[best].count++
+		chosen = append(chosen, best)
+	}
+	return chosen
+}
+
+// start orders a run.
+func (c *Core) start(t *task, w *worker, id lwjob.RunID, slack time.Duration) {
+	r := &run{task: t, id: id, worker: w, phase: runOrdered, sentAt: c.now, began: c.now, pace: fullPace}
+	t.last = id
+	t.step.job.started = true
+	c.hold(r)
+	c.noteStart(w)
+	c.sendOrder(w, c.startOrder(r))
+	c.decide(Decision{
+		Kind: DecidedStart, Job: t.step.job.spec.ID, Task: t.name, Run: id, Worker: w.info.Life.Worker,
+		Slack: slack, Age: c.now - w.seenAt,
+	})
+}
+
+func (c *Core) startOrder(r *run) StartRun {
+	return StartRun{Task: r.task.name, Run: r.id, Text: r.task.step.job.spec.Text, Checkpoint: r.task.saved}
+}
--- a/internal/control/lwlink/client.go
+++ b/internal/control/lwlink/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,7 @@
 
 // NewClient returns a client for the replicas at the given RPC addresses.
 func NewClient(e *lwrpc.Endpoint, addresses []string) *Client {
-	return &Client{endpoint: e, addresses: addresses, next: rand.IntN(max(1, len(addresses)))}
+	return &Client{endpoint: e, addresses: slices.Clone(addresses), next: rand.IntN(max(1, len(addresses)))}
 }
 
 func (c *Client) target() string {
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -210,6 +210,24 @@
 		return "close_claim"
 	case Sweep:
 		return "sweep"
+	case Configure:
+		return "configure"
+	case AcceptJob:
+		return "accept_job"
+	case CancelSteps:
+		return "cancel_steps"
+	case RejectSteps:
+		return "reject_steps"
+	case RecordEnds:
+		return "record_ends"
+	case ChangeRoster:
+		return "change_roster"
+	case StartWave:
+		return "start_wave"
+	case BeginUpkeep:
+		return "begin_upkeep"
+	case ForgetJobs:
+		return "forget_jobs"
 	default:
 		return ""
 	}
@@ -278,6 +296,24 @@
 		return decodeAs[CloseClaim](w.Body)
 	case "sweep":
 		return Sweep{}, nil
+	case "configure":
+		return decodeAs[Configure](w.Body)
+	case "accept_job":
+		return decodeAs[AcceptJob](w.Body)
+	case "cancel_steps":
+		return decodeAs[CancelSteps](w.Body)
+	case "reject_steps":
+		return decodeAs[RejectSteps](w.Body)
+	case "record_ends":
+		return decodeAs[RecordEnds](w.Body)
+	case "change_roster":
+		return decodeAs[ChangeRoster](w.Body)
+	case "start_wave":
+		return decodeAs[StartWave](w.Body)
+	case "begin_upkeep":
+		return decodeAs[BeginUpkeep](w.Body)
+	case "forget_jobs":
+		return decodeAs[ForgetJobs](w.Body)
 	default:
 		return nil, lwfault.New(lwfault.Invalid, "unknown kind; this program knows version %d", Version)
 	}
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -12,6 +12,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 )
 
@@ -42,11 +43,14 @@
 	Backends        map[lwunit.BackendServerID]*BackendServer `json:"backends"`
 	BackendRevision lwunit.Revision                           `json:"backend_revision"`
 	PolicyRevision  lwunit.Revision                           `json:"policy_revision"`
+
+	Queues lwjob.Contents `json:"queues"`
 }
 
 // State is the state after some revision. It is not safe for concurrent use.
 type State struct {
-	c contents
+	c      contents
+	queues *lwjob.Table // its contents join c in a snapshot
 
 	// Derived from contents, never stored.
 	onWorker map[lwunit.WorkerID]map[lwunit.TaskID]*Task
@@ -66,7 +70,7 @@
 
 // New returns the empty state.
 func New() *State {
-	s := &State{c: contents{
+	s := &State{queues: lwjob.NewTable(), c: contents{
 		Version: Version, Tickets: make(map[lwticket.Number]*TicketRecord), Objects: make(map[string]*ObjectRecord),
 		Workers: make(map[lwunit.WorkerID]*Worker), Jobs: make(map[lwunit.JobID]*Job), Tasks: make(map[lwunit.TaskID]*Task),
 		Claims: make(map[string]*Claim), Backends: make(map[lwunit.BackendServerID]*BackendServer),
@@ -77,7 +81,9 @@
 
 // Snapshot encodes the state; equal states encode to equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(s.c)
+	c := s.c
+	c.Queues = s.queues.Contents()
+	data, err := json.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", err)
 	}
@@ -94,7 +100,7 @@
 	c.Tasks = cloneMap(s.c.Tasks)
 	c.Claims = cloneMap(s.c.Claims)
 	c.Backends = cloneMap(s.c.Backends)
-	return &State{c: c}
+	return &State{c: c, queues: s.queues.Clone()}
 }
 
 func cloneMap[K comparable, V any](m map[K]*V) map[K]*V {
@@ -129,6 +135,7 @@
 	if s.c.Version != Version {
 		return nil, lwfault.New(lwfault.Invalid, "the snapshot has version %d; this program reads %d", s.c.Version, Version)
 	}
+	s.queues = lwjob.Restore(s.c.Queues)
 	s.index()
 	return s, nil
 }
@@ -218,6 +225,9 @@
 func (s *State) Apply(rev lwunit.Revision, at lwunit.Millis, c Command) Result {
 	s.c.Revision = rev
 	s.advanceClock(at)
+	if res, ok := s.applyQueue(c); ok {
+		return res
+	}
 	switch c := c.(type) {
 	case ApplyTicket:
 		return s.applyTicket(c)
--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -15,15 +15,16 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwclock"
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
 )
 
 const (
 	helloMethod     = "hello"
-	dialTimeout     = 2 * time.Second
-	helloTimeout    = 2 * time.Second
-	redialPause     = 200 * time.Millisecond
+	dialTimeout     = 700 * time.Millisecond // several round trips between failure domains
+	helloTimeout    = 700 * time.Millisecond
+	redialPause     = 100 * time.Millisecond
 	readBufferBytes = 16 << 10
 	unsentLimit     = 16 << 20
 	faultCode       = -32000
@@ -31,10 +32,14 @@
 
 // Session is one authenticated connection to another process.
 type Session struct {
+	heard   atomic.Int64 // when bytes last came in, in nanoseconds of the endpoint's clock
+	pinging atomic.Bool
+
 	mu      sync.Mutex // held by attach until the rest is set
 	rpc     *jsonrpc2.Conn
 	stream  *stream
 	trusted bool
+	dialled bool // by this process, which then watches over it
 }
 
 func (s *Session) conn() *jsonrpc2.Conn {
@@ -79,6 +84,8 @@
 type Endpoint struct {
 	key    string
 	engine *nbio.Engine
+	clock  lwclock.Clock
+	done   chan struct{} // closed by Close
 
 	closed   sync.Once
 	closing  atomic.Bool
@@ -97,10 +104,11 @@
 	if address != "" {
 		cfg.Addrs = []string{address}
 	}
-	e := &Endpoint{key: key, engine: nbio.NewEngine(cfg), methods: make(map[string]Handler), peers: make(map[string]*Peer)}
+	e := &Endpoint{key: key, engine: nbio.NewEngine(cfg), clock: lwclock.New(), done: make(chan struct{}), methods: make(map[string]Handler), peers: make(map[string]*Peer)}
 	e.engine.OnOpen(func(c *nbio.Conn) { e.attach(c, false) })
 	e.engine.OnData(func(c *nbio.Conn, data []byte) {
 		if s, ok := e.sessions.Load(c); ok {
+			s.(*Session).heard.Store(int64(e.clock.Now()))
 			s.(*Session).frames().receive(data)
 		}
 	})
@@ -113,6 +121,7 @@
 	if err := e.engine.Start(); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	go e.keepAlive()
 	return e, nil
 }
 
@@ -146,7 +155,10 @@
 		p.drop()
 	}
 	e.mu.RUnlock()
-	e.closed.Do(func() { lwhttp.StopWithin(e.engine.Stop) })
+	e.closed.Do(func() {
+		close(e.done)
+		lwhttp.StopWithin(e.engine.Stop)
+	})
 }
 
 // attach makes a session on a new connection; dialled ones are trusted.
@@ -154,7 +166,8 @@
 	if s, ok := e.sessions.Load(c); ok {
 		return s.(*Session)
 	}
-	s := &Session{trusted: dialled}
+	s := &Session{trusted: dialled, dialled: dialled}
+	s.heard.Store(int64(e.clock.Now()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stream = newStream(c)
@@ -193,8 +206,11 @@
 	if r.Params != nil {
 		params = *r.Params
 	}
-	if r.Method == helloMethod {
+	switch r.Method {
+	case helloMethod:
 		return h.hello(params)
+	case pingMethod:
+		return struct{}{}, nil
 	}
 	h.s.mu.Lock()
 	trusted := h.s.trusted
@@ -250,12 +266,21 @@
 // Address returns the address of the peer.
 func (p *Peer) Address() string { return p.address }
 
+// NotSentError means that a request never left this process.
+type NotSentError struct{ Cause error }
+
+// Error returns why it was not sent.
+func (e *NotSentError) Error() string { return "not sent: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
 // Call sends a request to the peer. An error of kind Unavailable that wraps no
 // answer means the request may or may not have arrived.
 func (p *Peer) Call(ctx context.Context, method string, params, result any) error {
 	s, err := p.connect(ctx)
 	if err != nil {
-		return err
+		return &NotSentError{err}
 	}
 	err = s.Call(ctx, method, params, result)
 	if err != nil && isClosed(err) {
