Count what ended jobs still run; order reports by the worker's clock

Reports that timed out can be served after later ones, and their lists brought ended runs back. Change: ended jobs are remembered; a worker with runs of unknown size gets nothing; older whole lists are passed over; runs that vanish are given up.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -117,6 +117,14 @@
 	d.node.log.Info("dispatch began", zap.Uint64("term", uint64(term)), zap.Uint64("revision", uint64(d.since)))
 }
 
+// discard drops what was committed while this replica does not lead: a core
+// is made from the record as it is then.
+func (d *dispatcher) discard() {
+	d.queue.mu.Lock()
+	defer d.queue.mu.Unlock()
+	d.queue.list = nil
+}
+
 // drain tells the core of what was committed since.
 func (d *dispatcher) drain(r *replica) {
 	d.queue.mu.Lock()
@@ -180,6 +188,7 @@
 		case <-d.kick:
 		}
 		if err := d.enter(r); err != nil {
+			d.discard()
 			continue
 		}
 		began := time.Now()
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -68,25 +68,28 @@
 	steps    [][]*step     // by occurrence
 	started  bool
 	stopped  bool // cancelled, failed or done: nothing of it may start
+	overAt   time.Duration
 }
 
 // worker is one life of a worker.
 type worker struct {
-	info     WorkerInfo
-	token    Token
-	enrolled bool          // the roster names it
-	silent   bool          // it does not answer its agent
-	current  bool          // its lists were read under the present token
-	leaseEnd time.Duration // when all that it runs has ended unless it is renewed
-	seenAt   time.Duration
-	runs     map[runKey]*run
-	used     lwunit.Resources // of runs that count against its capacity
-	filling  lwunit.Millicores
-	ends     int64 // highest number taken in
-	cursor   int64 // highest number recorded
-	health   health
-	calmAt   time.Duration // when the tails beside filling work were last fine
-	pacedAt  time.Duration
+	info      WorkerInfo
+	token     Token
+	enrolled  bool          // the roster names it
+	silent    bool          // it does not answer its agent
+	strangers bool          // it lists runs of jobs that nobody remembers, whose size is not known
+	current   bool          // its lists were read under the present token
+	leaseEnd  time.Duration // when all that it runs has ended unless it is renewed
+	seenAt    time.Duration
+	runs      map[runKey]*run
+	used      lwunit.Resources // of runs that count against its capacity
+	filling   lwunit.Millicores
+	clock     lwunit.Millis // of the newest lists taken in
+	ends      int64         // highest number taken in
+	cursor    int64         // highest number recorded
+	health    health
+	calmAt    time.Duration // when the tails beside filling work were last fine
+	pacedAt   time.Duration
 }
 
 type runKey struct {
@@ -102,6 +105,8 @@
 	wall    lwunit.Millis // wall clock at now
 	config  *lwconfig.Document
 	jobs    map[lwunit.JobID]*job
+	over    map[lwunit.JobID]*job      // ended in this term; some of their runs may still be stopping
+	ended   map[lwunit.JobID]lwjob.Job // ended before this term
 	workers map[lwjob.WorkerLife]*worker
 	order   []*worker // workers in a fixed order
 	agents  map[string]lwjob.WorkerLife
@@ -119,7 +124,7 @@
 func New(cfg Config, term uint64, now time.Duration, wall lwunit.Millis, in Inherited) *Core {
 	c := &Core{
 		cfg: cfg, term: term, now: now, wall: wall, config: in.Config,
-		jobs: make(map[lwunit.JobID]*job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
+		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
 		missing: make(map[lwjob.WorkerLife]time.Duration), learned: make(map[lwconfig.QueueKey]*durations),
 	}
 	for _, life := range in.Roster {
@@ -127,6 +132,10 @@
 	}
 	slices.SortFunc(in.Jobs, func(a, b *lwjob.Job) int { return int(a.Accepted - b.Accepted) })
 	for _, j := range in.Jobs {
+		if j.State.Final() {
+			c.ended[j.Spec.ID] = lwjob.Job{Spec: j.Spec, Queue: j.Queue, Term: j.Term, State: j.State}
+			continue
+		}
 		c.addJob(j)
 	}
 	return c
@@ -162,18 +171,43 @@
 	if j == nil {
 		return
 	}
-	j.stopped = true
 	delete(c.jobs, id)
+	c.over[id] = j
+	j.overAt = c.now
+	c.halt(j, reason)
+}
+
+// halt keeps a job from starting anything more and stops what runs of it.
+func (c *Core) halt(j *job, reason string) {
+	j.stopped = true
 	c.dropSteps(j)
+	for _, r := range j.runs() {
+		c.stop(r, reason)
+	}
+}
+
+func (j *job) runs() []*run {
+	var list []*run
 	for _, steps := range j.steps {
 		for _, s := range steps {
 			for _, t := range s.tasks {
-				for _, r := range t.runs {
-					c.stop(r, reason)
-				}
+				list = append(list, t.runs...)
 			}
 		}
 	}
+	return list
+}
+
+// overKept is how long an ended job is remembered for orders carried out late.
+const overKept = time.Minute
+
+// forgetOver drops jobs that ended long ago and have no runs left.
+func (c *Core) forgetOver() {
+	for id, j := range c.over {
+		if c.now-j.overAt >= overKept && len(j.runs()) == 0 {
+			delete(c.over, id)
+		}
+	}
 }
 
 func (c *Core) dropSteps(j *job) {
@@ -203,12 +237,8 @@
 	if rec.State.Final() || c.jobs[rec.Spec.ID] != nil {
 		return
 	}
-	spec := rec.Spec
-	j := &job{spec: &spec, queue: rec.Queue, term: rec.Term, accepted: c.acceptedAt(rec), started: rec.Started}
-	c.jobs[spec.ID] = j
-	for k := range spec.Occurrences() {
-		j.steps = append(j.steps, c.buildSteps(j, rec, lwjob.Occurrence(k)))
-	}
+	j := c.buildJob(rec)
+	c.jobs[j.spec.ID] = j
 	c.expect(j)
 	for _, steps := range j.steps {
 		for _, s := range steps {
@@ -219,6 +249,34 @@
 	}
 }
 
+func (c *Core) buildJob(rec *lwjob.Job) *job {
+	spec := rec.Spec
+	j := &job{spec: &spec, queue: rec.Queue, term: rec.Term, accepted: c.acceptedAt(rec), started: rec.Started}
+	for k := range spec.Occurrences() {
+		j.steps = append(j.steps, c.buildSteps(j, rec, lwjob.Occurrence(k)))
+	}
+	return j
+}
+
+// jobNamed returns a job, also one that has ended: a worker may still run
+// tasks of it, which count until they have stopped.
+func (c *Core) jobNamed(id lwunit.JobID) *job {
+	if j := c.jobs[id]; j != nil {
+		return j
+	}
+	if j := c.over[id]; j != nil {
+		return j
+	}
+	rec, ok := c.ended[id]
+	if !ok {
+		return nil
+	}
+	j := c.buildJob(&rec)
+	j.stopped, j.overAt = true, c.now
+	c.over[id] = j
+	return j
+}
+
 // acceptedAt maps the time of acceptance to the leader's clock.
 func (c *Core) acceptedAt(rec *lwjob.Job) time.Duration {
 	if rec.Term == c.term {
--- /dev/null
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -0,0 +1,319 @@
+package lwdispatch
+
+import (
+	"testing"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+)
+
+func TestStepsRunInOrder(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j1", tasks(2, 1, time.Second), tasks(1, 1, time.Second, 0))
+	list := f.run("w1")
+	expectStarts(t, list, "j1.0.0.0/1", "j1.0.0.1/1")
+	f.end("w1", list[0], lwjob.EndDone)
+	expectStarts(t, f.starts("w1"))
+	f.end("w1", list[1], lwjob.EndDone)
+	expectStarts(t, f.starts("w1"), "j1.0.1.0/1")
+}
+
+func TestRoomCountsUntilTheEnd(t *testing.T) {
+	t.Run("a run that stops", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("big", tasks(1, 4, time.Second))
+		list := f.run("w1")
+		f.cancel("big")
+		f.submit("next", tasks(1, 4, time.Second))
+		expectStarts(t, f.starts("w1"))
+		f.end("w1", list[0], lwjob.EndStopped)
+		expectStarts(t, f.starts("w1"), "next.0.0.0/1")
+	})
+	t.Run("a run of a cancelled job that a new leader finds", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("big", tasks(1, 4, time.Second))
+		list := f.run("w1")
+		f.cancel("big")
+		f.begin(testTerm + 1)
+		f.join(f.infos["w1"])
+		f.submit("next", tasks(1, 4, time.Second))
+		expectStarts(t, f.starts("w1"))
+		f.end("w1", list[0], lwjob.EndStopped)
+		expectStarts(t, f.starts("w1"), "next.0.0.0/1")
+	})
+	t.Run("a run that nobody remembers", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.lists["w1"] = []RunRow{{Task: "gone.0.0.0", Run: 1, Percent: fullPace}}
+		f.report("w1")
+		f.submit("next", tasks(1, 1, time.Second))
+		expectStarts(t, f.starts("w1"))
+		f.lists["w1"] = nil
+		f.report("w1")
+		expectStarts(t, f.starts("w1"), "next.0.0.0/1")
+	})
+}
+
+func TestNewLeaderWaitsForOldTasks(t *testing.T) {
+	before := func(t *testing.T) *fixture {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.join(workerInfo("w2", 4))
+		f.submit("old", tasks(1, 1, time.Second))
+		f.starts("w1")
+		f.starts("w2")
+		f.begin(testTerm + 1)
+		return f
+	}
+	t.Run("until every worker has shown its lists", func(t *testing.T) {
+		f := before(t)
+		f.join(f.infos["w1"])
+		expectStarts(t, f.starts("w1"))
+		f.join(f.infos["w2"])
+		if got := len(f.starts("w1")) + len(f.starts("w2")); got != 1 {
+			t.Errorf("%d starts once both have reported, want 1", got)
+		}
+	})
+	t.Run("or its lease has ended", func(t *testing.T) {
+		f := before(t)
+		f.join(f.infos["w1"])
+		for range 50 {
+			f.report("w1")
+			f.pass(100 * time.Millisecond)
+		}
+		expectStarts(t, f.starts("w1"), "old.0.0.0/65537")
+	})
+	t.Run("new jobs do not wait", func(t *testing.T) {
+		f := before(t)
+		f.join(f.infos["w1"])
+		f.submit("new", tasks(1, 1, time.Second))
+		expectStarts(t, f.starts("w1"), "new.0.0.0/1")
+	})
+	t.Run("a run that it finds is adopted", func(t *testing.T) {
+		f := before(t)
+		f.lists["w2"] = []RunRow{{Task: "old.0.0.0", Run: 1, Percent: fullPace}}
+		f.join(f.infos["w1"])
+		f.join(f.infos["w2"])
+		expectStarts(t, f.starts("w1"))
+		expectStarts(t, f.starts("w2"))
+		f.end("w2", StartRun{Task: "old.0.0.0", Run: 1}, lwjob.EndDone)
+		if got := f.table.Job("old").State; got != lwjob.Completed {
+			t.Errorf("the job is %s", got)
+		}
+	})
+}
+
+func TestLostWorker(t *testing.T) {
+	start := func(t *testing.T) (*fixture, StartRun) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", tasks(1, 1, 30*time.Second))
+		list := f.run("w1")
+		f.join(workerInfo("w2", 4))
+		return f, list[0]
+	}
+	t.Run("its tasks wait for the end of its lease", func(t *testing.T) {
+		f, _ := start(t)
+		for range 38 {
+			f.report("w2")
+			f.pass(100 * time.Millisecond)
+		}
+		expectStarts(t, f.starts("w2"))
+		for range 10 {
+			f.report("w2")
+			f.pass(100 * time.Millisecond)
+		}
+		expectStarts(t, f.starts("w2"), "j.0.0.0/2")
+	})
+	t.Run("a newer life at the same agent ends it at once", func(t *testing.T) {
+		f, _ := start(t)
+		next := f.infos["w1"]
+		next.Life.Worker, next.Life.Born = "w1b", 2
+		f.lists["w1b"] = nil
+		f.join(next)
+		if got := append(f.starts("w2"), f.starts("w1b")...); len(got) != 1 || got[0].Run != 2 {
+			t.Errorf("started %v, want run 2 once", got)
+		}
+	})
+	t.Run("a worker that does not answer its agent is not renewed", func(t *testing.T) {
+		f, _ := start(t)
+		for range 45 {
+			f.core.Report(Report{Info: f.infos["w1"], Silent: true})
+			f.report("w2")
+			f.pass(100 * time.Millisecond)
+		}
+		expectStarts(t, f.starts("w2"), "j.0.0.0/2")
+	})
+}
+
+func TestAttempts(t *testing.T) {
+	t.Run("a task that fails too often ends its job", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", tasks(1, 1, time.Second))
+		f.end("w1", f.run("w1")[0], lwjob.EndFailed)
+		second := f.run("w1")
+		expectStarts(t, second, "j.0.0.0/2")
+		f.end("w1", second[0], lwjob.EndFailed)
+		expectStarts(t, f.starts("w1"))
+		if got := f.table.Job("j").State; got != lwjob.Failed {
+			t.Errorf("the job is %s", got)
+		}
+	})
+	t.Run("an end that is listed again to a new leader counts once", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", tasks(1, 1, time.Second))
+		failed := f.run("w1")[0]
+		f.end("w1", failed, lwjob.EndFailed)
+		f.starts("w1")
+		f.begin(testTerm + 1)
+		f.number["w1"] = 0 // the worker still lists it
+		f.core.Report(Report{Info: f.infos["w1"]})
+		f.step()
+		f.report("w1", lwjob.End{Task: failed.Task, Run: failed.Run, How: lwjob.EndFailed})
+		expectStarts(t, f.starts("w1"), "j.0.0.0/65537")
+	})
+	t.Run("long-running tasks are started for ever", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		s := tasks(1, 1, 0)
+		s.LongRunning = true
+		f.submit("j", s)
+		for range 5 {
+			f.end("w1", f.run("w1")[0], lwjob.EndFailed)
+		}
+		expectStarts(t, f.starts("w1"), "j.0.0.0/6")
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, time.Second))
+	s := f.starts("w1")[0]
+	f.core.Report(Report{Info: f.infos["w1"], Token: tokenOf(testTerm) + 1, Refused: []Refusal{{Task: s.Task, Run: s.Run, Reason: RefusedLate}}})
+	f.step()
+	expectStarts(t, f.starts("w1"), "j.0.0.0/2")
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	info := f.infos["w1"]
+	info.Draining = true
+	f.infos["w1"] = info
+	f.report("w1")
+	f.submit("j", tasks(1, 1, time.Second))
+	expectStarts(t, f.starts("w1"))
+}
+
+func TestGang(t *testing.T) {
+	gang := tasks(3, 2, time.Second)
+	gang.Gang = true
+	t.Run("starts whole or not at all", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", gang)
+		expectStarts(t, f.starts("w1"))
+		f.join(workerInfo("w2", 4))
+		if got := len(f.starts("w1")) + len(f.starts("w2")); got != 3 {
+			t.Errorf("%d members started, want 3", got)
+		}
+	})
+	t.Run("ends with one member's end", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 8))
+		f.submit("j", gang)
+		f.end("w1", f.run("w1")[0], lwjob.EndDone)
+		if got := f.table.Job("j").State; got != lwjob.Completed {
+			t.Errorf("the job is %s", got)
+		}
+	})
+}
+
+func TestRecurringJob(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	j := lwjob.Job{
+		Spec:  lwjob.Spec{ID: "j", Queue: f.queue.Key, Steps: []lwjob.Step{tasks(1, 1, time.Second)}, Repeats: 2, First: f.wall + 1000, Interval: 500},
+		Queue: f.queue, Term: testTerm,
+	}
+	f.table.Accept(j)
+	f.core.JobAccepted(f.table.Job("j"))
+	f.pass(900 * time.Millisecond)
+	expectStarts(t, f.starts("w1"))
+	f.pass(110 * time.Millisecond)
+	expectStarts(t, f.starts("w1"), "j.0.0.0/1")
+	f.pass(500 * time.Millisecond)
+	expectStarts(t, f.starts("w1"), "j.1.0.0/1")
+}
+
+func TestFillingYieldsToTails(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 8))
+	serving := tasks(1, 2, 0)
+	serving.LongRunning, serving.TailTarget = true, f.queue.Target
+	filling := tasks(1, 4, 30*time.Second)
+	filling.Filling = true
+	f.submit("serve", serving)
+	f.submit("fill", filling)
+	f.run("w1")
+	f.lists["w1"][0].Gauge = 240 // of a target of 250 ms
+	f.pass(time.Second)
+	f.report("w1")
+	var paced []int
+	for _, o := range f.orders["w1"] {
+		if p, ok := o.(PaceRun); ok && p.Task == "fill.0.0.0" {
+			paced = append(paced, p.Percent)
+		}
+	}
+	if len(paced) != 1 || paced[0] >= fullPace {
+		t.Errorf("paced to %v, want once and lower", paced)
+	}
+}
+
+// A report that timed out at its agent may be served after the next one.
+func TestReportsOvertakeEachOther(t *testing.T) {
+	late := func(f *fixture, rows []RunRow) Report {
+		f.clock++
+		token, _ := f.core.CursorOf(f.infos["w1"].Life)
+		return Report{Info: f.infos["w1"], Token: token, Full: true, Running: rows, Clock: f.clock}
+	}
+	t.Run("a run that has ended is not taken up again", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", tasks(1, 1, time.Second))
+		s := f.run("w1")[0]
+		old := late(f, f.lists["w1"])
+		f.end("w1", s, lwjob.EndLapsed)
+		expectStarts(t, f.starts("w1"), "j.0.0.0/2")
+		f.core.Report(old)
+		f.step()
+		if n := len(f.core.workers[f.infos["w1"].Life].runs); n != 1 {
+			t.Errorf("%d runs are held, want the new one", n)
+		}
+	})
+	t.Run("a run that began since is kept", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		old := late(f, nil)
+		f.submit("j", tasks(1, 1, time.Second))
+		f.run("w1")
+		f.core.Report(old)
+		f.step()
+		expectStarts(t, f.starts("w1"))
+	})
+	t.Run("a run that the worker lists no more is started again", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", tasks(1, 1, time.Second))
+		f.run("w1")
+		f.lists["w1"] = nil
+		f.report("w1")
+		expectStarts(t, f.starts("w1"), "j.0.0.0/2")
+	})
+}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -111,7 +111,7 @@
 // eligible reports whether the rules let a step's tasks run on a worker.
 func (c *Core) eligible(s *step, w *worker) bool {
 	switch {
-	case !w.enrolled || !w.current || w.silent || w.info.Draining || w.info.Service != s.job.queue.Service:
+	case !w.enrolled || !w.current || w.silent || w.strangers || w.info.Draining || w.info.Service != s.job.queue.Service:
 		return false
 	case s.spec.RequiredLabel != "" && !slices.Contains(w.info.Labels, s.spec.RequiredLabel):
 		return false
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -94,12 +94,15 @@
 	for _, f := range m.Refused {
 		c.takeRefusal(w, f)
 	}
-	if !m.Full {
-		return
+	if !m.Full || m.Clock < w.clock {
+		return // a newer whole list has been taken in
 	}
+	w.clock = m.Clock
+	w.strangers = false
 	for _, row := range m.Running {
 		c.takeRow(w, row)
 	}
+	c.dropVanished(w, m.Running)
 	if !w.current {
 		w.current = true
 		delete(c.missing, w.info.Life)
@@ -123,6 +126,7 @@
 	}
 	t := c.taskNamed(row.Task)
 	if t == nil {
+		w.strangers = true
 		c.sendOrder(w, StopRun{row.Task, row.Run})
 		c.decide(Decision{Kind: DecidedStop, Task: row.Task, Run: row.Run, Worker: w.info.Life.Worker, Reason: "no job asks for it"})
 		return
@@ -134,20 +138,36 @@
 		t.saved = row.Saved
 	}
 	c.hold(r)
-	if t.done || (len(t.runs) > 1 && !t.step.spec.Speculative) {
-		c.stop(r, "the task runs elsewhere or is done")
+	if t.step.job.stopped || t.done || (len(t.runs) > 1 && !t.step.spec.Speculative) {
+		c.stop(r, "its job or task is over, or it runs elsewhere")
 		return
 	}
 	c.decide(Decision{Kind: DecidedAdopt, Job: t.step.job.spec.ID, Task: row.Task, Run: row.Run, Worker: w.info.Life.Worker, Reason: "listed by the worker"})
 }
 
-// taskNamed returns a task of a job that has not ended.
+// dropVanished gives up runs that the worker listed once and lists no more,
+// neither as running nor as ended.
+func (c *Core) dropVanished(w *worker, rows []RunRow) {
+	listed := make(map[runKey]bool, len(rows))
+	for _, row := range rows {
+		listed[runKey{row.Task, row.Run}] = true
+	}
+	for _, r := range w.sortedRuns() {
+		if r.phase != runListed || listed[runKey{r.task.name, r.id}] {
+			continue
+		}
+		c.release(r)
+		c.decide(Decision{Kind: DecidedLost, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: w.info.Life.Worker, Reason: "the worker lists it no more"})
+	}
+}
+
+// taskNamed returns a task of a job that is still remembered.
 func (c *Core) taskNamed(name lwunit.TaskID) *task {
 	id, key, err := lwjob.ParseTaskName(name)
 	if err != nil {
 		return nil
 	}
-	j := c.jobs[id]
+	j := c.jobNamed(id)
 	if j == nil || int(key.Occurrence) >= len(j.steps) || key.Step >= len(j.steps[0]) || key.Index >= len(j.steps[0][key.Step].tasks) {
 		return nil
 	}
@@ -254,19 +274,7 @@
 
 // giveUp keeps a job that has failed from starting anything more; its record
 // ends when the failed runs are recorded.
-func (c *Core) giveUp(j *job) {
-	j.stopped = true
-	c.dropSteps(j)
-	for _, steps := range j.steps {
-		for _, s := range steps {
-			for _, t := range s.tasks {
-				for _, r := range t.runs {
-					c.stop(r, "its job has failed")
-				}
-			}
-		}
-	}
-}
+func (c *Core) giveUp(j *job) { c.halt(j, "its job has failed") }
 
 func (c *Core) takeRefusal(w *worker, f Refusal) {
 	r := w.runs[runKey{f.Task, f.Run}]
@@ -406,6 +414,7 @@
 			}
 		}
 	}
+	c.forgetOver()
 	c.wake()
 }
 
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -92,6 +92,7 @@
 	Token   Token           `json:"token"`            // under which the lists were read
 	Silent  bool            `json:"silent,omitempty"` // the worker does not answer; its lease is not renewed
 	Full    bool            `json:"full,omitempty"`   // Running is the whole list
+	Clock   lwunit.Millis   `json:"clock,omitempty"`  // of the worker when it made the lists; reports may overtake each other
 	Running []RunRow        `json:"running,omitempty"`
 	Ends    []EndRow        `json:"ends,omitempty"`
 	Refused []Refusal       `json:"refused,omitempty"`
