Pack long-running tasks, learn which images disturb which, fill what is left unused

The listed percent is progress, not pace. Change: blame by pair, only suspects yield, runs that stand still move; like long-running tasks share workers; filling work beyond declared room while the runs' own use shows that it keeps up.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -317,5 +317,5 @@
 
 func logDecision(log *lwlog.Limited, x lwdispatch.Decision) {
 	log.Line(string(x.Kind), zap.String("job", string(x.Job)), zap.String("task", string(x.Task)), zap.Uint64("run", uint64(x.Run)),
-		zap.String("worker", string(x.Worker)), zap.String("reason", x.Reason), zap.Duration("age", x.Age), zap.Duration("slack", x.Slack))
+		zap.String("worker", string(x.Worker)), zap.String("reason", x.Reason), zap.Duration("age", x.Age), zap.Duration("slack", x.Slack), zap.Int("percent", x.Percent))
 }
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -20,16 +20,16 @@
 
 // run is one start of a task that may exist on a worker.
 type run struct {
-	task   *task
-	id     lwjob.RunID
-	worker *worker
-	phase  runPhase
-	sentAt time.Duration // when the newest order about it was sent
-	began  time.Duration // when it was ordered first
-	pace   int           // percent that was ordered last
-	paceAt time.Duration
-	row    RunRow // as listed last
-	copyOf bool   // a speculative copy
+	task     *task
+	id       lwjob.RunID
+	worker   *worker
+	phase    runPhase
+	sentAt   time.Duration // when the newest order about it was sent
+	began    time.Duration // when it was ordered first
+	pace     int           // percent that was ordered last
+	slowedAt time.Duration // when it was last below its full pace
+	row      RunRow        // as listed last
+	copyOf   bool          // a speculative copy
 }
 
 // task is one task of an occurrence.
@@ -73,23 +73,24 @@
 
 // worker is one life of a worker.
 type worker struct {
-	info      WorkerInfo
-	token     Token
-	enrolled  bool          // the roster names it
-	silent    bool          // it does not answer its agent
-	strangers bool          // it lists runs of jobs that nobody remembers, whose size is not known
-	current   bool          // its lists were read under the present token
-	leaseEnd  time.Duration // when all that it runs has ended unless it is renewed
-	seenAt    time.Duration
-	runs      map[runKey]*run
-	used      lwunit.Resources // of runs that count against its capacity
-	filling   lwunit.Millicores
-	clock     lwunit.Millis // of the newest lists taken in
-	ends      int64         // highest number taken in
-	cursor    int64         // highest number recorded
-	health    health
-	calmAt    time.Duration // when the tails beside filling work were last fine
-	pacedAt   time.Duration
+	info       WorkerInfo
+	token      Token
+	enrolled   bool          // the roster names it
+	silent     bool          // it does not answer its agent
+	strangers  bool          // it lists runs of jobs that nobody remembers, whose size is not known
+	current    bool          // its lists were read under the present token
+	leaseEnd   time.Duration // when all that it runs has ended unless it is renewed
+	seenAt     time.Duration
+	runs       map[runKey]*run
+	used       lwunit.Resources // of runs that count against its capacity
+	filling    lwunit.Millicores
+	overcommit float64       // millicores of filling work beyond what other tasks leave by their declarations
+	clock      lwunit.Millis // of the newest lists taken in
+	ends       int64         // highest number taken in
+	cursor     int64         // highest number recorded
+	health     health
+	calmAt     time.Duration // when the tails beside filling work were last fine
+	pacedAt    time.Duration
 }
 
 type runKey struct {
@@ -113,6 +114,7 @@
 	fences  map[lwjob.WorkerLife]Token         // last tokens of lives that were given up
 	missing map[lwjob.WorkerLife]time.Duration // roster lives that have not reported yet, and when their leases have ended
 	learned map[lwconfig.QueueKey]*durations
+	pairs   pairs
 	ready   []*step // steps whose turn has come and that have tasks left
 	timed   []*step // first steps that wait for their time
 	out     Effects
@@ -125,7 +127,7 @@
 	c := &Core{
 		cfg: cfg, term: term, now: now, wall: wall, config: in.Config,
 		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
-		missing: make(map[lwjob.WorkerLife]time.Duration), learned: make(map[lwconfig.QueueKey]*durations),
+		missing: make(map[lwjob.WorkerLife]time.Duration), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs),
 	}
 	for _, life := range in.Roster {
 		c.missing[life] = now + c.leaseBound()
--- a/internal/control/lwdispatch/pace.go
+++ b/internal/control/lwdispatch/pace.go
@@ -1,67 +1,146 @@
 package lwdispatch
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	fullPace     = 100
 	paceStep     = 2                       // divides the pace of filling work when a tail is near its target
 	lowestPace   = 10                      // percent; below it filling work stands still
 	tailHigh     = 0.9                     // share of a target above which filling work yields
-	tailCalm     = 0.6                     // share below which it may have more again
-	paceInterval = 700 * time.Millisecond  // until the effect of the last change shows in a tail
-	calmInterval = 1500 * time.Millisecond // of calm before filling work gets more
+	tailFar      = 2                       // times a target at which it stands still at once
+	tailCalm     = 0.65                    // share below which it may have more again
+	paceInterval = 1200 * time.Millisecond // until the effect of the last change shows in a tail
+	calmInterval = 1200 * time.Millisecond // of calm before filling work gets more
+	settleTime   = 700 * time.Millisecond  // from a start until the run shows in a figure of the last half second
+	stuckAfter   = 1500 * time.Millisecond // at a low pace until a run is moved to another worker
 )
 
 // checkTails paces filling work by the tails of the tasks that serve beside
-// it. A tail lags, so a change waits until the last one can show.
+// it. A tail lags, so a change waits until the last one can show. Where one
+// image is known to disturb another, only that one yields.
 func (c *Core) checkTails(w *worker, age time.Duration) {
-	worst := 0.0
-	for _, r := range w.runs {
-		if target := r.task.step.spec.TailTarget.Std().Milliseconds(); target > 0 && r.phase == runListed {
-			worst = max(worst, float64(r.row.Gauge)/float64(target))
+	c.measureSpare(w)
+	worst, victim := 0.0, ""
+	fillers := w.fillers(c.now)
+	for _, r := range w.sortedRuns() {
+		target := r.task.step.spec.TailTarget.Std().Milliseconds()
+		if target <= 0 || r.phase != runListed || r.row.Gauge == 0 {
+			continue
+		}
+		ratio := float64(r.row.Gauge) / float64(target)
+		if c.now-w.pacedAt >= paceInterval {
+			c.pairs.learn(fillers, r.task.step.spec.Image, ratio)
+		}
+		if ratio > worst {
+			worst, victim = ratio, r.task.step.spec.Image
 		}
 	}
 	if worst > tailCalm {
 		w.calmAt = c.now
 	}
-	if c.now-w.pacedAt < paceInterval+age {
-		return
-	}
 	switch {
-	case worst > tailHigh:
-		c.paceFilling(w, func(p int) int { return lowered(p) })
-	case c.now-w.calmAt >= calmInterval:
-		c.paceFilling(w, func(p int) int { return min(fullPace, max(p*paceStep, lowestPace)) })
+	case worst > tailHigh && c.now-w.pacedAt >= paceInterval+age:
+		c.yield(w, fillers, victim, worst)
+	case c.now-w.calmAt >= calmInterval && c.now-w.pacedAt >= paceInterval+age:
+		c.recover(w)
 	}
+	c.moveStuck(w)
 }
 
-func lowered(p int) int {
-	if p /= paceStep; p < lowestPace {
-		return 0
+// fillers returns the filling runs that have worked long enough to show in
+// the figures of their worker.
+func (w *worker) fillers(now time.Duration) []*run {
+	var list []*run
+	for _, r := range w.sortedRuns() {
+		if r.task.step.spec.Filling && r.phase == runListed && r.pace > 0 && now-r.began >= settleTime {
+			list = append(list, r)
+		}
 	}
-	return p
+	return list
 }
 
-// paceFilling gives the filling runs of a worker a new pace.
-func (c *Core) paceFilling(w *worker, next func(int) int) {
+// yield lowers the pace of the filling runs that most likely disturb a task.
+func (c *Core) yield(w *worker, fillers []*run, victim string, ratio float64) {
+	culprits := c.pairs.suspects(fillers, victim)
+	for _, r := range culprits {
+		p := r.pace / paceStep
+		if p < lowestPace || ratio >= tailFar {
+			p = 0
+		}
+		c.setPace(r, p, fmt.Sprintf("the tail of image %s beside it is at %.1f of its target", victim, ratio))
+		w.pacedAt = c.now
+	}
+}
+
+// recover gives paced runs more again, those that disturb nobody first.
+func (c *Core) recover(w *worker) {
 	for _, r := range w.sortedRuns() {
-		if !r.task.step.spec.Filling || r.phase != runListed {
+		if !r.task.step.spec.Filling || r.phase != runListed || r.pace == fullPace {
 			continue
 		}
-		p := next(r.pace)
-		if p == r.pace {
+		c.setPace(r, min(fullPace, max(r.pace*paceStep, lowestPace)), "tails beside it are calm")
+		w.pacedAt = c.now
+	}
+}
+
+func (c *Core) setPace(r *run, percent int, reason string) {
+	if r.pace == fullPace && percent < fullPace {
+		r.slowedAt = c.now
+	}
+	r.pace = percent
+	c.sendOrder(r.worker, PaceRun{r.task.name, r.id, percent})
+	c.decide(Decision{Kind: DecidedPace, Percent: percent, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: r.worker.info.Life.Worker, Reason: reason})
+}
+
+// moveStuck stops runs that stand still where they disturb others, if another
+// worker would take them: saved work goes on there.
+func (c *Core) moveStuck(w *worker) {
+	for _, r := range w.sortedRuns() {
+		s := r.task.step
+		if !s.spec.Filling || r.phase != runListed || r.pace > fullPace/4 || c.now-r.slowedAt < stuckAfter {
 			continue
 		}
-		r.pace, r.paceAt = p, c.now
-		w.pacedAt = c.now
-		c.sendOrder(w, PaceRun{r.task.name, r.id, p})
-		c.decide(Decision{Kind: DecidedPace, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: w.info.Life.Worker, Reason: paceReason(p)})
+		if !s.spec.Checkpointed && r.row.Progress > fullPace/2 {
+			continue // more would be lost than is left to do
+		}
+		if other := c.choose(s); other != nil && other != w {
+			c.stop(r, "it disturbs others here and has room elsewhere")
+		}
 	}
 }
 
-func paceReason(p int) string {
-	if p == fullPace {
-		return "tails are calm: full pace"
+const (
+	spareGrowth    = 1.15 // of the filling work a worker is tried with, while it keeps up
+	spareSaturated = 0.85 // share of what the runs ask for, below which they slow each other
+	spareMargin    = 1.05
+)
+
+// measureSpare learns how much filling work a worker carries: processors that
+// its other tasks reserve but do not use are free for it.
+func (c *Core) measureSpare(w *worker) {
+	var asked, used float64
+	for _, r := range w.runs {
+		if !r.task.step.spec.Filling {
+			continue
+		}
+		if r.phase != runListed || c.now-r.began < settleTime || r.row.Gauge == 0 || r.pace < fullPace {
+			return // the sum would not tell
+		}
+		asked += float64(r.task.step.spec.Need.Millicores)
+		used += float64(r.row.Gauge)
+	}
+	if asked == 0 {
+		return
+	}
+	declared := float64(w.info.Capacity.Millicores - w.used.Millicores)
+	if used < spareSaturated*asked {
+		w.overcommit = max(0, used*spareMargin-declared)
+		return
+	}
+	if asked >= declared+w.overcommit-float64(w.info.Capacity.Millicores)/8 {
+		w.overcommit = min(asked*spareGrowth-declared, float64(w.info.Capacity.Millicores)-declared)
 	}
-	return "a tail beside it neared or left its target"
 }
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -105,9 +105,15 @@
 			best, bestCost = w, cost
 		}
 	}
+	if bestCost >= keptApart && s.job.running() > 0 {
+		return nil // it would only be paced down there
+	}
 	return best
 }
 
+// running returns how many runs of a job may exist.
+func (j *job) running() int { return len(j.runs()) }
+
 // eligible reports whether the rules let a step's tasks run on a worker.
 func (c *Core) eligible(s *step, w *worker) bool {
 	switch {
@@ -138,7 +144,7 @@
 	need := s.spec.Need
 	free := w.info.Capacity.Sub(w.used)
 	if s.spec.Filling {
-		spare := free.Millicores - w.filling
+		spare := free.Millicores + lwunit.Millicores(w.overcommit) - w.filling
 		need.Millicores = 0
 		return need.Fits(free) && (s.spec.Need.Millicores <= spare || w.filling == 0)
 	}
@@ -155,8 +161,17 @@
 	if s.spec.PreferredRack != "" && !slices.Contains(w.info.Labels, string(s.spec.PreferredRack)) {
 		cost += c.cfg.SpreadFactor
 	}
-	if s.spec.LongRunning {
-		cost += float64(w.countOf(s)) // a lost worker then takes few of a step
+	switch {
+	case s.spec.LongRunning:
+		// Long-running tasks are packed, like with like, so that other workers
+		// stay free of tasks that filling work could disturb.
+		cost = 1 - cost - sameImage*w.shareOf(s.spec.Image)
+	case s.spec.Filling:
+		risk, toxic := c.disturbance(s, w)
+		cost += risk
+		if toxic {
+			cost += keptApart
+		}
 	}
 	if w.info.Cold > 0 {
 		cost += 1
@@ -164,6 +179,22 @@
 	return cost
 }
 
+const (
+	sameImage = 0.5 // of a worker's load, how much packing like with like counts
+	keptApart = 10  // cost at which a worker is taken only if nothing else runs of a job
+)
+
+// shareOf returns which part of the runs on a worker have an image.
+func (w *worker) shareOf(image string) float64 {
+	n := 0
+	for _, r := range w.runs {
+		if r.task.step.spec.Image == image {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(w.runs)))
+}
+
 // placeGang starts all tasks of a gang at once or none. Tasks that depend on
 // being near each other are kept on one rack if it has room.
 func (c *Core) placeGang(s *step, slack time.Duration) {
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -131,7 +131,7 @@
 		c.decide(Decision{Kind: DecidedStop, Task: row.Task, Run: row.Run, Worker: w.info.Life.Worker, Reason: "no job asks for it"})
 		return
 	}
-	r := &run{task: t, id: row.Run, worker: w, phase: runListed, began: c.now, sentAt: c.now, pace: row.Percent, row: row}
+	r := &run{task: t, id: row.Run, worker: w, phase: runListed, began: c.now, sentAt: c.now, pace: fullPace, row: row}
 	t.last = max(t.last, row.Run)
 	t.step.job.started = true
 	if row.Saved != "" {
@@ -142,6 +142,9 @@
 		c.stop(r, "its job or task is over, or it runs elsewhere")
 		return
 	}
+	if t.step.spec.Filling {
+		c.setPace(r, fullPace, "its pace under the leader before is not known")
+	}
 	c.decide(Decision{Kind: DecidedAdopt, Job: t.step.job.spec.ID, Task: row.Task, Run: row.Run, Worker: w.info.Life.Worker, Reason: "listed by the worker"})
 }
 
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -49,10 +49,12 @@
 
 // RunRow is one run that a worker lists.
 type RunRow struct {
-	Task    lwunit.TaskID `json:"t"`
-	Run     lwjob.RunID   `json:"r"`
-	Saved   string        `json:"s,omitempty"` // newest checkpoint
-	Percent int           `json:"p"`           // of its processors that it may use
+	Task  lwunit.TaskID `json:"t"`
+	Run   lwjob.RunID   `json:"r"`
+	Saved string        `json:"s,omitempty"` // newest checkpoint
+	// Progress is how much of its work is done, in percent; a long-running task
+	// is at work at 100.
+	Progress int `json:"p"`
 	// Gauge is, for a task with a tail target, its tail latency in
 	// milliseconds, otherwise the processors in use in millicores.
 	Gauge int `json:"g,omitempty"`
@@ -174,14 +176,15 @@
 
 // Decision is one line for the decision log.
 type Decision struct {
-	Kind   DecisionKind
-	Job    lwunit.JobID
-	Task   lwunit.TaskID
-	Run    lwjob.RunID
-	Worker lwunit.WorkerID
-	Reason string
-	Age    time.Duration // of the input that decided
-	Slack  time.Duration // until the job would miss its objective
+	Kind    DecisionKind
+	Job     lwunit.JobID
+	Task    lwunit.TaskID
+	Run     lwjob.RunID
+	Worker  lwunit.WorkerID
+	Reason  string
+	Age     time.Duration // of the input that decided
+	Slack   time.Duration // until the job would miss its objective
+	Percent int           // of its processors that a paced run may use
 }
 
 // Effects are what the caller must carry out.
