Start one run of a job that stands still beside free room

Change: a job without a run for 1 s gets one while under 0.6 of its service's declared room is in use.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -52,8 +52,9 @@
 	number  int
 	spec    *lwjob.Step
 	tasks   []*task
-	left    int // tasks not done
-	waiting int // steps it depends on that are not done
+	left    int           // tasks not done
+	waiting int           // steps it depends on that are not done
+	readyAt time.Duration // when its turn came
 	feeds   []*step
 	tail    time.Duration // expected time from its start to the job's end
 }
@@ -327,6 +328,7 @@
 		c.timed = append(c.timed, s)
 		return
 	}
+	s.readyAt = c.now
 	c.ready = append(c.ready, s)
 }
 
@@ -335,6 +337,7 @@
 	due := func(s *step) bool { return s.job.spec.Due(s.occ) <= c.wall }
 	for _, s := range c.timed {
 		if due(s) {
+			s.readyAt = c.now
 			c.ready = append(c.ready, s)
 		}
 	}
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -317,3 +317,20 @@
 		expectStarts(t, f.starts("w1"), "j.0.0.0/2")
 	})
 }
+
+// A job that finds every worker full of filling work still gets one run while
+// much declared room is free.
+func TestNoJobStandsStillBesideFreeRoom(t *testing.T) {
+	filling := func(n int) lwjob.Step {
+		s := tasks(n, 4, 30*time.Second)
+		s.Filling = true
+		return s
+	}
+	f := newFixture(t)
+	f.join(workerInfo("w1", 8))
+	f.submit("first", filling(2))
+	f.submit("second", filling(3))
+	expectStarts(t, f.run("w1"), "first.0.0.0/1", "first.0.0.1/1")
+	f.pass(1100 * time.Millisecond)
+	expectStarts(t, f.starts("w1"), "second.0.0.0/1")
+}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -86,6 +86,9 @@
 			continue
 		}
 		w := c.choose(s)
+		if w == nil && c.starved(s) {
+			w = c.chooseCrowded(s)
+		}
 		if w == nil {
 			return // its siblings need the same
 		}
@@ -111,6 +114,47 @@
 	return best
 }
 
+const (
+	starvedAfter = time.Second // without any run, until a job gets one beside work that fills already
+	idleShare    = 0.6         // of a service's room in use, below which no job may stand still
+)
+
+// starved reports whether a job stands still though much of its service's
+// declared room is free.
+func (c *Core) starved(s *step) bool {
+	if s.job.running() > 0 || c.now-s.readyAt < starvedAfter {
+		return false
+	}
+	var used, capacity lwunit.Resources
+	for _, w := range c.order {
+		if w.info.Service == s.job.queue.Service {
+			used = used.Add(w.used)
+			capacity = capacity.Add(w.info.Capacity)
+		}
+	}
+	return float64(used.Millicores) < idleShare*float64(capacity.Millicores) && float64(used.Memory) < idleShare*float64(capacity.Memory)
+}
+
+// chooseCrowded returns a worker whose declared room holds a task, whatever
+// fills it and whoever that disturbs; pacing looks after the rest.
+func (c *Core) chooseCrowded(s *step) *worker {
+	need := s.spec.Need
+	if s.spec.Filling {
+		need.Millicores = 0
+	}
+	var best *worker
+	bestCost := math.Inf(1)
+	for _, w := range c.order {
+		if !c.eligible(s, w) || !need.Fits(w.info.Capacity.Sub(w.used)) {
+			continue
+		}
+		if cost := c.cost(s, w); cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
 // running returns how many runs of a job may exist.
 func (j *job) running() int { return len(j.runs()) }
 
