Fill what workers really leave unused, and halt filling where a tail stays over

Change: a worker gets more filling work while its settled runs get what they ask for, less when not; all filling work stands still once a tail has been over its target for half the allowed time; where nothing is known to disturb, paced work is restored at once.

--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -83,6 +83,9 @@
 	if b.SpreadFactor > 0 {
 		cfg.SpreadFactor = b.SpreadFactor
 	}
+	if b.Harm > 0 {
+		cfg.HarmTime = b.Harm.Std()
+	}
 	cfg.Restore = b.Restore.Std()
 	return cfg
 }
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -90,6 +90,8 @@
 	ends       int64         // highest number taken in
 	cursor     int64         // highest number recorded
 	health     health
+	over       bool // a tail on it misses its target
+	overSince  time.Duration
 	calmAt     time.Duration // when the tails beside filling work were last fine
 	pacedAt    time.Duration
 }
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -334,3 +334,38 @@
 	f.pass(1100 * time.Millisecond)
 	expectStarts(t, f.starts("w1"), "second.0.0.0/1")
 }
+
+// A tail that stays over its target brings everything that fills its worker
+// to a standstill, and nothing more is placed there.
+func TestTailOverItsTargetHaltsFilling(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 16))
+	serving := tasks(1, 2, 0)
+	serving.LongRunning, serving.TailTarget, serving.Image = true, f.queue.Target, "web"
+	f.submit("serve", serving)
+	for _, image := range []string{"a", "b"} {
+		s := tasks(1, 4, 60*time.Second)
+		s.Filling, s.Image = true, image
+		f.submit("fill-"+image, s)
+	}
+	f.run("w1")
+	f.lists["w1"][0].Gauge = 260
+	for range 6 {
+		f.pass(400 * time.Millisecond)
+		f.report("w1")
+	}
+	paces := make(map[string]int)
+	for _, o := range f.orders["w1"] {
+		if p, ok := o.(PaceRun); ok {
+			paces[string(p.Task)] = p.Percent
+		}
+	}
+	if paces["fill-a.0.0.0"] != 0 || paces["fill-b.0.0.0"] != 0 || len(paces) != 2 {
+		t.Errorf("paces are %v, want both at 0", paces)
+	}
+	s := tasks(1, 1, time.Second)
+	s.Filling = true
+	f.starts("w1")
+	f.submit("more", s)
+	expectStarts(t, f.starts("w1"))
+}
--- a/internal/control/lwdispatch/pace.go
+++ b/internal/control/lwdispatch/pace.go
@@ -41,7 +41,10 @@
 	if worst > tailCalm {
 		w.calmAt = c.now
 	}
+	c.noteOver(w, worst > 1)
 	switch {
+	case w.over && c.now-w.overSince >= c.cfg.HarmTime/2:
+		c.haltFilling(w)
 	case worst > tailHigh && c.now-w.pacedAt >= paceInterval+age:
 		c.yield(w, fillers, victim, worst)
 	case c.now-w.calmAt >= calmInterval && c.now-w.pacedAt >= paceInterval+age:
@@ -50,6 +53,25 @@
 	c.moveStuck(w)
 }
 
+// noteOver notes whether a tail on a worker misses its target.
+func (c *Core) noteOver(w *worker, over bool) {
+	if over && !w.over {
+		w.overSince = c.now
+	}
+	w.over = over
+}
+
+// haltFilling lets everything that fills a worker stand still: blame by image
+// has not helped a tail in time.
+func (c *Core) haltFilling(w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.task.step.spec.Filling && r.phase == runListed && r.pace > 0 {
+			c.setPace(r, 0, "a tail beside it has missed its target for too long")
+			w.pacedAt = c.now
+		}
+	}
+}
+
 // fillers returns the filling runs that have worked long enough to show in
 // the figures of their worker.
 func (w *worker) fillers(now time.Duration) []*run {
@@ -75,13 +97,18 @@
 	}
 }
 
-// recover gives paced runs more again, those that disturb nobody first.
+// recover gives paced runs more again: slowly where they are known to disturb
+// what serves here, else all at once.
 func (c *Core) recover(w *worker) {
 	for _, r := range w.sortedRuns() {
 		if !r.task.step.spec.Filling || r.phase != runListed || r.pace == fullPace {
 			continue
 		}
-		c.setPace(r, min(fullPace, max(r.pace*paceStep, lowestPace)), "tails beside it are calm")
+		p := fullPace
+		if _, toxic := c.disturbance(r.task.step, w); toxic {
+			p = min(fullPace, max(r.pace*paceStep, lowestPace))
+		}
+		c.setPace(r, p, "tails beside it are calm")
 		w.pacedAt = c.now
 	}
 }
@@ -113,34 +140,34 @@
 }
 
 const (
-	spareGrowth    = 1.15 // of the filling work a worker is tried with, while it keeps up
-	spareSaturated = 0.85 // share of what the runs ask for, below which they slow each other
-	spareMargin    = 1.05
+	keepsUp      = 0.9  // share of what settled runs ask for from which a worker may get more
+	slowsDown    = 0.75 // share below which its runs slow each other
+	spareStep    = 8    // divides a worker's processors: how much more it may get at a time
+	fewestToTell = 1    // settled runs that a judgement needs
 )
 
 // measureSpare learns how much filling work a worker carries: processors that
 // its other tasks reserve but do not use are free for it.
 func (c *Core) measureSpare(w *worker) {
 	var asked, used float64
+	settled := 0
 	for _, r := range w.runs {
-		if !r.task.step.spec.Filling {
+		if !r.task.step.spec.Filling || r.phase != runListed || c.now-r.began < settleTime || r.pace < fullPace || c.now-r.slowedAt < settleTime {
 			continue
 		}
-		if r.phase != runListed || c.now-r.began < settleTime || r.row.Gauge == 0 || r.pace < fullPace {
-			return // the sum would not tell
-		}
+		settled++
 		asked += float64(r.task.step.spec.Need.Millicores)
 		used += float64(r.row.Gauge)
 	}
-	if asked == 0 {
-		return
-	}
-	declared := float64(w.info.Capacity.Millicores - w.used.Millicores)
-	if used < spareSaturated*asked {
-		w.overcommit = max(0, used*spareMargin-declared)
+	if settled < fewestToTell {
 		return
 	}
-	if asked >= declared+w.overcommit-float64(w.info.Capacity.Millicores)/8 {
-		w.overcommit = min(asked*spareGrowth-declared, float64(w.info.Capacity.Millicores)-declared)
+	declared := w.info.Capacity.Millicores - w.used.Millicores
+	switch ratio := used / asked; {
+	case ratio >= keepsUp:
+		w.overcommit = max(w.overcommit, float64(w.filling+w.info.Capacity.Millicores/spareStep-declared))
+	case ratio < slowsDown:
+		w.overcommit = max(0, float64(w.filling)*ratio-float64(declared))
 	}
+	w.overcommit = min(w.overcommit, float64(w.used.Millicores))
 }
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -168,6 +168,9 @@
 	case s.spec.MaxPerWorker > 0 && w.countOf(s) >= s.spec.MaxPerWorker:
 		return false
 	}
+	if s.spec.Filling && w.over {
+		return false
+	}
 	return c.trusted(w)
 }
 
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -22,6 +22,7 @@
 	Resend       time.Duration // until an order that no report shows is sent again
 	SpreadFactor float64       // how much slower work is off its rack
 	Suspicion    time.Duration // for which a worker that failed is left alone first
+	HarmTime     time.Duration // for which a tail may miss its target by what fills beside it
 	Restore      time.Duration // time a run needs to resume from a checkpoint
 }
 
@@ -29,7 +30,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Lease: 4 * time.Second, ClockRate: 0.02, LeaseSlack: 100 * time.Millisecond, StopTime: time.Second,
-		Resend: time.Second, SpreadFactor: 1.5, Suspicion: time.Second, Restore: 250 * time.Millisecond,
+		Resend: time.Second, SpreadFactor: 1.5, Suspicion: time.Second, Restore: 250 * time.Millisecond, HarmTime: 4 * time.Second,
 	}
 }
 
