Keep images apart that disturb each other, also after a change of leader

Change: such a pair is kept apart unless the job stands still beside free room; what was learned is recorded; like long-running tasks are packed more strictly.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -23,6 +23,7 @@
 	dispatchTick   = 100 * time.Millisecond // between looks at leases and repeated orders
 	jobRetention   = 4 * time.Minute        // of an ended job's state
 	forgetInterval = 20 * time.Second
+	learnInterval  = time.Second
 	ordersTimeout  = 500 * time.Millisecond
 )
 
@@ -59,6 +60,7 @@
 	ends      []lwdispatch.WorkerEnd // to be proposed
 	recording bool                   // a proposal of ends is under way
 	forgot    time.Duration
+	learned   time.Duration
 }
 
 func newDispatcher(n *Node) *dispatcher {
@@ -110,7 +112,7 @@
 	d.ends, d.recording = nil, false
 	r.read(func(s *lwstate.State) {
 		d.since = s.Revision()
-		in := lwdispatch.Inherited{Config: s.Queues().Config(), Roster: s.Queues().Roster()}
+		in := lwdispatch.Inherited{Config: s.Queues().Config(), Roster: s.Queues().Roster(), Pairs: s.Queues().Disturbances()}
 		s.Queues().Each(func(j *lwjob.Job) { in.Jobs = append(in.Jobs, j) })
 		d.core = lwdispatch.New(d.node.cfg.Dispatch, uint64(term), r.now(), wallClock(), in)
 	})
@@ -195,6 +197,7 @@
 		if tick {
 			d.core.Tick()
 			d.forget(ctx, r)
+			d.learn(ctx, r)
 		}
 		d.core.Schedule()
 		out := d.core.Take()
@@ -298,6 +301,18 @@
 	}
 }
 
+// learn records what was learned of images, so that the next leader need not
+// learn it again at the cost of those who wait.
+func (d *dispatcher) learn(ctx context.Context, r *replica) {
+	if r.now()-d.learned < learnInterval {
+		return
+	}
+	d.learned = r.now()
+	if pairs := d.core.Learned(); len(pairs) > 0 {
+		go d.propose(ctx, r, lwstate.LearnDisturbances{Pairs: pairs})
+	}
+}
+
 // forget drops the record of jobs that ended long ago.
 func (d *dispatcher) forget(ctx context.Context, r *replica) {
 	if r.now()-d.forgot < forgetInterval {
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -132,6 +132,7 @@
 		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
 		missing: make(map[lwjob.WorkerLife]time.Duration), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs),
 	}
+	c.pairs.recall(in.Pairs)
 	for _, life := range in.Roster {
 		c.missing[life] = now + c.leaseBound()
 	}
--- a/internal/control/lwdispatch/pace.go
+++ b/internal/control/lwdispatch/pace.go
@@ -9,6 +9,7 @@
 	fullPace     = 100
 	paceStep     = 2                       // divides the pace of filling work when a tail is near its target
 	lowestPace   = 10                      // percent; below it filling work stands still
+	toxicPace    = 20                      // percent that a run may have beside what it is known to disturb
 	tailHigh     = 0.9                     // share of a target above which filling work yields
 	tailFar      = 2                       // times a target at which it stands still at once
 	tailCalm     = 0.65                    // share below which it may have more again
@@ -106,7 +107,10 @@
 		}
 		p := fullPace
 		if _, toxic := c.disturbance(r.task.step, w); toxic {
-			p = min(fullPace, max(r.pace*paceStep, lowestPace))
+			p = min(toxicPace, max(r.pace*paceStep, lowestPace))
+		}
+		if p == r.pace {
+			continue
 		}
 		c.setPace(r, p, "tails beside it are calm")
 		w.pacedAt = c.now
--- a/internal/control/lwdispatch/pair.go
+++ b/internal/control/lwdispatch/pair.go
@@ -1,5 +1,11 @@
 package lwdispatch
 
+import (
+	"math"
+
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+)
+
 const (
 	pairBad      = 1.0  // share of a target above which a task counts as disturbed
 	pairFine     = 0.75 // share below which it counts as undisturbed
@@ -14,7 +20,12 @@
 type pairKey struct{ fills, serves string }
 
 // pairStat counts what was seen of a pair.
-type pairStat struct{ samples, bad float64 }
+type pairStat struct {
+	samples, bad float64
+	saved        pairCount // as it was recorded last
+}
+
+type pairCount struct{ samples, bad float64 }
 
 // pairs learns which images disturb which from the tails of tasks that serve.
 // Several images may be beside a disturbed task: each is blamed in proportion
@@ -111,3 +122,29 @@
 	}
 	return risk, toxic
 }
+
+// savedChange is how much the risk of a pair must have changed to be recorded
+// again.
+const savedChange = 0.1
+
+// Learned returns the pairs whose risk has changed since it was recorded last,
+// and marks them as recorded.
+func (c *Core) Learned() []lwjob.Disturbance {
+	var list []lwjob.Disturbance
+	for k, s := range c.pairs {
+		before := (s.saved.bad + pairPrior*pairWeight) / (s.saved.samples + pairWeight)
+		if math.Abs(c.pairs.risk(k)-before) < savedChange {
+			continue
+		}
+		s.saved = pairCount{s.samples, s.bad}
+		list = append(list, lwjob.Disturbance{Fills: k.fills, Serves: k.serves, Samples: s.samples, Bad: s.bad})
+	}
+	return list
+}
+
+// recall takes over what an earlier leader had learned.
+func (p pairs) recall(list []lwjob.Disturbance) {
+	for _, d := range list {
+		p[pairKey{d.Fills, d.Serves}] = &pairStat{d.Samples, d.Bad, pairCount{d.Samples, d.Bad}}
+	}
+}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -108,7 +108,7 @@
 			best, bestCost = w, cost
 		}
 	}
-	if bestCost >= keptApart && s.job.running() > 0 {
+	if bestCost >= keptApart {
 		return nil // it would only be paced down there
 	}
 	return best
@@ -221,14 +221,14 @@
 		}
 	}
 	if w.info.Cold > 0 {
-		cost += 1
+		cost++
 	}
 	return cost
 }
 
 const (
-	sameImage = 0.5 // of a worker's load, how much packing like with like counts
-	keptApart = 10  // cost at which a worker is taken only if nothing else runs of a job
+	sameImage = 1  // of a worker's load, how much packing like with like counts
+	keptApart = 10 // cost at which a worker is taken only by a job that stands still
 )
 
 // shareOf returns which part of the runs on a worker have an image.
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -209,4 +209,5 @@
 	Config *lwconfig.Document
 	Jobs   []*lwjob.Job
 	Roster []lwjob.WorkerLife
+	Pairs  []lwjob.Disturbance
 }
--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -84,6 +84,8 @@
 	Jobs   map[lwunit.JobID]*Job `json:"jobs"`
 	Roster []WorkerLife          `json:"roster,omitempty"`
 	Waves  map[WaveID]*Wave      `json:"waves,omitempty"`
+
+	Disturbances []Disturbance `json:"disturbances,omitempty"`
 }
 
 // Table is the replicated record of configuration, jobs and worker lives. It
@@ -123,6 +125,7 @@
 func (t *Table) Clone() *Table {
 	c := t.c
 	c.Roster = slices.Clone(c.Roster)
+	c.Disturbances = slices.Clone(c.Disturbances)
 	c.Jobs = make(map[lwunit.JobID]*Job, len(t.c.Jobs))
 	for id, j := range t.c.Jobs {
 		copied := *j
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -228,6 +228,8 @@
 		return "begin_upkeep"
 	case ForgetJobs:
 		return "forget_jobs"
+	case LearnDisturbances:
+		return "learn_disturbances"
 	default:
 		return ""
 	}
@@ -312,6 +314,8 @@
 		return decodeAs[StartWave](w.Body)
 	case "begin_upkeep":
 		return decodeAs[BeginUpkeep](w.Body)
+	case "learn_disturbances":
+		return decodeAs[LearnDisturbances](w.Body)
 	case "forget_jobs":
 		return decodeAs[ForgetJobs](w.Body)
 	default:
--- a/internal/control/lwstate/queue.go
+++ b/internal/control/lwstate/queue.go
@@ -54,15 +54,21 @@
 	Before lwunit.Millis `json:"before"`
 }
 
-func (Configure) command()    {}
-func (AcceptJob) command()    {}
-func (CancelSteps) command()  {}
-func (RejectSteps) command()  {}
-func (RecordEnds) command()   {}
-func (ChangeRoster) command() {}
-func (StartWave) command()    {}
-func (BeginUpkeep) command()  {}
-func (ForgetJobs) command()   {}
+// LearnDisturbances records which images disturb which.
+type LearnDisturbances struct {
+	Pairs []lwjob.Disturbance `json:"pairs"`
+}
+
+func (LearnDisturbances) command() {}
+func (Configure) command()         {}
+func (AcceptJob) command()         {}
+func (CancelSteps) command()       {}
+func (RejectSteps) command()       {}
+func (RecordEnds) command()        {}
+func (ChangeRoster) command()      {}
+func (StartWave) command()         {}
+func (BeginUpkeep) command()       {}
+func (ForgetJobs) command()        {}
 
 // applyQueue changes the record of queues; false means that c is no command
 // about them.
@@ -94,6 +100,8 @@
 		s.queues.StartWave(c.Wave)
 	case BeginUpkeep:
 		s.queues.BeginUpkeep(c.Wave, c.Machine)
+	case LearnDisturbances:
+		s.queues.Learn(c.Pairs)
 	case ForgetJobs:
 		s.queues.Forget(c.Before)
 	default:
