Found a group of 2f+1 voters from seeds that do not name all replicas

Cause: grown deployments have six or eight VMs with a disk and must bear the loss of two; seeds name three VMs, some without a disk where each domain runs two control processes. Change: the first seed gathers candidates and chooses voters spread over the domains, the others are learners; VMs without a disk relay. Before: three voters everywhere.

--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -26,6 +26,7 @@
 	MetricsPort int        `json:"metrics_port"` // 0 serves no metrics
 	Seeds       []string   `json:"seeds"`        // addresses of up to three VMs that run control
 	Found       bool       `json:"found"`        // the whole system starts for the first time
+	Tolerate    int        `json:"tolerate"`     // VMs with a disk that may be lost at one time
 	Folder      string     `json:"folder,omitempty"`
 
 	CallersAddress   string `json:"callers_address,omitempty"`
@@ -47,6 +48,10 @@
 	SpreadFactor float64         `json:"spread_factor"` // how much slower work is off its rack
 }
 
+// Voters returns how many control replicas decide: a majority is left when as
+// many as tolerated are lost.
+func (h *Hosted) Voters() int { return 2*h.Tolerate + 1 }
+
 // RPCAddress returns where a control replica on this VM listens.
 func (h *Hosted) RPCAddress() string { return h.at(h.IP) }
 
@@ -70,6 +75,8 @@
 		return "ip", "hosted.ip must be an IP address"
 	case h.RPCPort <= 0 || h.RPCPort > 65535:
 		return "rpc_port", "hosted.rpc_port must be a port"
+	case h.Tolerate < 0:
+		return "tolerate", "hosted.tolerate must not be negative"
 	case len(h.Seeds) == 0:
 		return "seeds", "hosted.seeds must name a VM that runs control"
 	case h.Bounds.HoldMax <= 0:
--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -31,6 +31,7 @@
 	client *lwlink.Client
 	intake *lwintake.Intake
 	runner *lwrunner.Runner
+	relay  *lwcontrol.Relay
 	server *lwhttp.Server // for operators, or for the worker beside an agent
 	cancel context.CancelFunc
 }
@@ -62,18 +63,44 @@
 		var err error
 		n.control, err = lwcontrol.Start(lwcontrol.Config{
 			Name: n.settings.Name, Address: h.RPCAddress(), Domain: n.settings.FailureDomain, Folder: h.Folder,
-			Replicas: h.ControlAddresses(), JoinOnly: !h.Found, Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(),
+			Replicas: h.ControlAddresses(), JoinOnly: !h.Found, Voters: h.Voters(), Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(),
 			Dispatch: dispatchConfig(h.Bounds), Seed: rand.Uint64(),
 		}, n.endpoint, n.log)
 		if err != nil {
 			return err
 		}
+	} else {
+		n.hosted.relay = lwcontrol.StartRelay(lwcontrol.RelayConfig{
+			Address: h.RPCAddress(), Seeds: h.ControlAddresses(), Voters: h.Voters(), Found: h.Found,
+		}, n.endpoint, n.hosted.client, n.log)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.hosted.cancel = cancel
+	go n.hosted.followLeader(ctx)
 	var err error
 	n.hosted.server, err = lwhttp.Listen(lwhttp.Config{Name: "operators", Address: h.ControlAddress, Handler: platform.OperatorHandler(n.hosted.client)})
 	return err
 }
 
+const (
+	followInterval = time.Second
+	followTimeout  = 900 * time.Millisecond
+)
+
+// followLeader keeps the client's knowledge of the leader and the replicas
+// fresh, so that operators' requests go straight there.
+func (h *hosted) followLeader(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, followTimeout)
+		_ = h.client.ProbeLeader(call) // operators are told when their own requests fail
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(followInterval):
+		}
+	}
+}
+
 func dispatchConfig(b lwsetting.HostedBounds) lwdispatch.Config {
 	cfg := lwdispatch.DefaultConfig()
 	cfg.Lease = min(cfg.Lease, b.HoldMax.Std())
@@ -124,6 +151,9 @@
 		cancel()
 		h.server.Close()
 	}
+	if h.relay != nil {
+		h.relay.Stop()
+	}
 	if h.cancel != nil {
 		h.cancel()
 	}
--- a/internal/control/lwcontrol/bootstrap.go
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -23,6 +23,8 @@
 	Domain  lwunit.FailureDomain      `json:"domain"`
 	Applied uint64                    `json:"applied"`
 	Hash    string                    `json:"hash,omitempty"`
+	Relay   bool                      `json:"relay,omitempty"` // it has no replica
+	Peers   []string                  `json:"peers,omitempty"` // RPC addresses of others that it knows
 	Leads   bool                      `json:"leads,omitempty"`
 	Members map[lwunit.ReplicaID]bool `json:"members,omitempty"` // if it leads
 }
@@ -99,10 +101,18 @@
 // enough to join it; to found one, all must have answered that they are new.
 func (n *Node) tryJoin(ctx context.Context) error {
 	statuses, err := n.askAll(ctx)
+	var peers []string
 	for _, st := range statuses {
 		if st.Cluster != "" {
-			return n.askJoin(ctx)
+			return n.askJoin(ctx, n.cfg.Replicas)
 		}
+		peers = append(peers, st.Peers...)
+	}
+	switch {
+	case n.cfg.JoinOnly && len(peers) > 0:
+		return n.askJoin(ctx, peers)
+	case !n.cfg.JoinOnly && n.cfg.Voters > 0:
+		return n.offer(ctx)
 	}
 	if err != nil {
 		return err
@@ -123,15 +133,36 @@
 	return n.found(ctx, lwreplica.Membership{Voters: members})
 }
 
-// askAll asks every first member at the same time; the error is of one that
-// did not answer.
+// askMembers asks the seeds and the members that this replica last knew of;
+// those that do not answer cannot help.
+func (n *Node) askMembers(ctx context.Context, v view) []statusResult {
+	addresses := slices.Clone(n.cfg.Replicas)
+	for _, m := range v.membership.Members() {
+		if !slices.Contains(addresses, m.Address) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	statuses, err := n.askEach(ctx, addresses)
+	if err != nil {
+		n.log.Debug("some members did not answer", zap.Error(err))
+	}
+	return statuses
+}
+
+// askAll asks every first member.
 func (n *Node) askAll(ctx context.Context) ([]statusResult, error) {
+	return n.askEach(ctx, n.cfg.Replicas)
+}
+
+// askEach asks several processes at the same time; the error is of one that
+// did not answer.
+func (n *Node) askEach(ctx context.Context, addresses []string) ([]statusResult, error) {
 	type answer struct {
 		status statusResult
 		err    error
 	}
-	answers := make(chan answer, len(n.cfg.Replicas))
-	for _, address := range n.cfg.Replicas {
+	answers := make(chan answer, len(addresses))
+	for _, address := range addresses {
 		go func() {
 			st, err := n.askStatus(ctx, address)
 			st.Address = address
@@ -140,7 +171,7 @@
 	}
 	var list []statusResult
 	var failed error
-	for range n.cfg.Replicas {
+	for range addresses {
 		a := <-answers
 		if a.err != nil {
 			failed = a.err
@@ -246,10 +277,10 @@
 
 // askJoin asks the leader to add this replica as a learner. The leader makes
 // it a voter once it has caught up.
-func (n *Node) askJoin(ctx context.Context) error {
+func (n *Node) askJoin(ctx context.Context, addresses []string) error {
 	me := lwreplica.Member{ID: n.id, Address: n.cfg.Address, Domain: n.cfg.Domain}
 	var last error
-	for _, address := range n.cfg.Replicas {
+	for _, address := range addresses {
 		if address == n.cfg.Address {
 			continue
 		}
@@ -291,11 +322,11 @@
 		if quiet++; quiet < rejoinAfter {
 			continue
 		}
-		statuses, _ := n.askAll(ctx) // those that do not answer cannot help
+		statuses := n.askMembers(ctx, r.current())
 		for _, st := range statuses {
 			if st.Leads && !st.Members[n.id] {
 				n.log.Info("this replica was replaced; it asks to join again")
-				if err := n.askJoin(ctx); err != nil {
+				if err := n.askJoin(ctx, []string{st.Address}); err != nil {
 					n.log.Warn("not joined again yet", zap.Error(err))
 				}
 				break
@@ -403,7 +434,15 @@
 	started := n.promoting[l.ID]
 	n.mu.RUnlock()
 	atAddress := hasAddress(v.membership.Voters, l.Address)
-	return named || started || atAddress || lostVoter(v) != "" || len(v.membership.Voters) < len(n.cfg.Replicas)
+	return named || started || atAddress || lostVoter(v) != "" || len(v.membership.Voters) < n.wantedVoters()
+}
+
+// wantedVoters returns how many voters the group shall have.
+func (n *Node) wantedVoters() int {
+	if n.cfg.Voters > 0 {
+		return n.cfg.Voters
+	}
+	return len(n.cfg.Replicas)
 }
 
 // repairStep moves the membership one safe step on: a learner that has caught
--- /dev/null
+++ b/internal/control/lwcontrol/found_test.go
@@ -0,0 +1,97 @@
+package lwcontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwlease"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+const foundTestKey = "found-test-cluster-key"
+
+func TestChooseVoters(t *testing.T) {
+	candidates := make(map[string]lwreplica.Member)
+	for i := range 6 {
+		a := fmt.Sprintf("10.0.0.%d:1", i)
+		candidates[a] = lwreplica.Member{ID: lwunit.ReplicaID(a), Address: a, Domain: lwunit.FailureDomain(fmt.Sprint(i % 3))}
+	}
+	cases := []struct{ want, got, domains int }{{3, 3, 3}, {5, 5, 3}, {7, 5, 3}, {1, 1, 1}}
+	for _, x := range cases {
+		t.Run(fmt.Sprintf("%d wanted of 6", x.want), func(t *testing.T) {
+			voters := chooseVoters(candidates, x.want)
+			domains := make(map[lwunit.FailureDomain]bool)
+			for _, v := range voters {
+				domains[v.Domain] = true
+			}
+			if len(voters) != x.got || len(domains) != x.domains {
+				t.Errorf("%d voters in %d domains, want %d in %d", len(voters), len(domains), x.got, x.domains)
+			}
+		})
+	}
+}
+
+func foundNode(t *testing.T, e *lwrpc.Endpoint, seeds []string, joinOnly bool) *Node {
+	t.Helper()
+	n, err := Start(Config{
+		Name: e.Address(), Address: e.Address(), Domain: lwunit.FailureDomain(e.Address()), Folder: t.TempDir(), Replicas: seeds,
+		Voters: 3, JoinOnly: joinOnly, Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(), Dispatch: lwdispatch.DefaultConfig(),
+	}, e, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func foundEndpoint(t *testing.T) *lwrpc.Endpoint {
+	t.Helper()
+	e, err := lwrpc.Listen("127.0.0.1:0", foundTestKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+// The seeds name a VM without a disk and two of four with one; a group of
+// three voters is founded, and the fourth replica becomes a learner.
+func TestFoundFromSeedsThatNameNotAll(t *testing.T) {
+	var endpoints []*lwrpc.Endpoint
+	for range 5 {
+		endpoints = append(endpoints, foundEndpoint(t))
+	}
+	seeds := []string{endpoints[0].Address(), endpoints[1].Address(), endpoints[2].Address()}
+	relay := StartRelay(RelayConfig{Address: seeds[0], Seeds: seeds, Voters: 3, Found: true}, endpoints[0], lwlink.NewClient(endpoints[0], seeds), zap.NewNop())
+	t.Cleanup(relay.Stop)
+	var nodes []*Node
+	for _, e := range endpoints[1:] {
+		nodes = append(nodes, foundNode(t, e, seeds, false))
+	}
+	t.Cleanup(func() {
+		for _, n := range nodes {
+			n.cancel()
+			<-n.done
+		}
+	})
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, n := range nodes {
+			if r := n.current(); r != nil && n.Leads() {
+				m := r.current().membership
+				if len(m.Voters) == 3 && len(m.Learners) == 1 {
+					return
+				}
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("no group of three voters and a learner was founded")
+}
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -52,6 +52,7 @@
 	Placement lwplacement.Config
 	Dispatch  lwdispatch.Config
 	JoinOnly  bool // never founds a group: one exists already
+	Voters    int  // of the group; 0 makes every one of Replicas a voter
 	Seed      uint64
 }
 
@@ -106,6 +107,9 @@
 	n.confirmer = &confirmer{node: n}
 	n.handle()
 	n.handleQueues()
+	if cfg.Voters > 0 && !cfg.JoinOnly && cfg.Address == firstSeed(cfg.Replicas) && n.contents.Identity.Cluster == "" {
+		go newFounder(e, cfg.Voters, log).run(ctx)
+	}
 	go func() {
 		n.done <- n.run(ctx)
 		close(n.done)
--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -30,6 +30,12 @@
 	MethodLeader        = "control.leader"
 )
 
+// QueueMethods are the methods that only the leader serves.
+var QueueMethods = []string{
+	MethodSubmitSteps, MethodShowSteps, MethodCancelSteps, MethodConfigure, MethodConfiguration, MethodStartWave, MethodShowWave,
+	MethodReport, MethodLeader,
+}
+
 // Place is where a caller's request is directed: the leader finds the queue,
 // since only it knows the configuration in force.
 type Place struct {
@@ -269,5 +275,19 @@
 	}
 }
 
+// Addresses returns the RPC addresses of the replicas that are known.
+func (c *Client) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.addresses)
+}
+
+// Leader returns the RPC address of the last known leader, or "".
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
 // SetSeeds adds replicas that reloaded settings name.
 func (c *Client) SetSeeds(addresses []string) { c.addMembers(addresses) }
