--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -165,7 +165,7 @@
 		}
 	case lwstate.ChangeRoster:
 		for _, w := range c.Enrol {
-			d.core.Enrolled(w)
+			d.core.Enrolled(w.Life)
 		}
 	}
 }
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -96,6 +96,13 @@
 	pacedAt    time.Duration
 }
 
+// absent is a worker life that an earlier leader gave tasks and that has not
+// reported yet.
+type absent struct {
+	agent    string
+	leaseEnd time.Duration // when all that it runs has surely ended
+}
+
 type runKey struct {
 	task lwunit.TaskID
 	run  lwjob.RunID
@@ -114,8 +121,8 @@
 	workers map[lwjob.WorkerLife]*worker
 	order   []*worker // workers in a fixed order
 	agents  map[string]lwjob.WorkerLife
-	fences  map[lwjob.WorkerLife]Token         // last tokens of lives that were given up
-	missing map[lwjob.WorkerLife]time.Duration // roster lives that have not reported yet, and when their leases have ended
+	fences  map[lwjob.WorkerLife]Token  // last tokens of lives that were given up
+	missing map[lwjob.WorkerLife]absent // roster lives that have not reported yet
 	learned map[lwconfig.QueueKey]*durations
 	pairs   pairs
 	ready   []*step // steps whose turn has come and that have tasks left
@@ -130,11 +137,11 @@
 	c := &Core{
 		cfg: cfg, term: term, now: now, wall: wall, config: in.Config,
 		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
-		missing: make(map[lwjob.WorkerLife]time.Duration), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs),
+		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs),
 	}
 	c.pairs.recall(in.Pairs)
-	for _, life := range in.Roster {
-		c.missing[life] = now + c.leaseBound()
+	for _, e := range in.Roster {
+		c.missing[e.Life] = absent{e.Agent, now + c.leaseBound()}
 	}
 	slices.SortFunc(in.Jobs, func(a, b *lwjob.Job) int { return int(a.Accepted - b.Accepted) })
 	for _, j := range in.Jobs {
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -86,6 +86,16 @@
 		}
 		expectStarts(t, f.starts("w1"), "old.0.0.0/65537")
 	})
+	t.Run("or a newer life reports from the same agent", func(t *testing.T) {
+		f := before(t)
+		f.join(f.infos["w1"])
+		next := f.infos["w2"]
+		next.Life.Worker, next.Life.Born = "w2b", 2
+		f.join(next)
+		if got := len(f.starts("w1")) + len(f.starts("w2b")); got != 1 {
+			t.Errorf("%d starts once the old life is known to be over, want 1", got)
+		}
+	})
 	t.Run("new jobs do not wait", func(t *testing.T) {
 		f := before(t)
 		f.join(f.infos["w1"])
--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -55,9 +55,9 @@
 	f.core.Advance(f.now, f.wall)
 	f.core.Schedule()
 	f.out = f.core.Take()
-	for _, life := range f.out.Enrol {
-		f.table.Enrol(life)
-		f.core.Enrolled(life)
+	for _, e := range f.out.Enrol {
+		f.table.Enrol(e)
+		f.core.Enrolled(e.Life)
 	}
 	for _, life := range f.out.Dismiss {
 		f.table.Dismiss(life)
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -60,11 +60,24 @@
 		}
 		return 1
 	})
-	c.out.Enrol = append(c.out.Enrol, life)
+	c.dismissEarlier(info)
+	c.out.Enrol = append(c.out.Enrol, lwjob.RosterEntry{Life: life, Agent: info.Agent})
 	c.decide(Decision{Kind: DecidedWorker, Worker: life.Worker, Reason: "first report"})
 	return w
 }
 
+// dismissEarlier gives up the lives of earlier leaders' roster that a newer
+// life at the same agent has replaced.
+func (c *Core) dismissEarlier(info WorkerInfo) {
+	for life, a := range c.missing {
+		if a.agent == info.Agent && life != info.Life && life.Born <= info.Life.Born {
+			delete(c.missing, life)
+			c.out.Dismiss = append(c.out.Dismiss, life)
+			c.decide(Decision{Kind: DecidedWorkerGo, Worker: life.Worker, Reason: "a newer life has begun on its machine"})
+		}
+	}
+}
+
 // Enrolled notes that the roster names a worker life: from now on a new leader
 // would wait for it, so it may be given tasks.
 func (c *Core) Enrolled(life lwjob.WorkerLife) {
@@ -403,8 +416,8 @@
 			c.endLife(w.info.Life, "its lease has ended")
 		}
 	}
-	for life, end := range c.missing {
-		if c.now >= end {
+	for life, a := range c.missing {
+		if c.now >= a.leaseEnd {
 			delete(c.missing, life)
 			c.out.Dismiss = append(c.out.Dismiss, life)
 			c.decide(Decision{Kind: DecidedWorkerGo, Worker: life.Worker, Reason: "it has not reported to this leader"})
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -191,10 +191,10 @@
 // Effects are what the caller must carry out.
 type Effects struct {
 	Orders    []WorkerOrders
-	Ends      []WorkerEnd        // to be recorded, in order
-	Enrol     []lwjob.WorkerLife // to be added to the roster
-	Dismiss   []lwjob.WorkerLife // to be taken off it
-	Reject    []lwunit.JobID     // jobs that can never be done
+	Ends      []WorkerEnd         // to be recorded, in order
+	Enrol     []lwjob.RosterEntry // to be added to the roster
+	Dismiss   []lwjob.WorkerLife  // to be taken off it
+	Reject    []lwunit.JobID      // jobs that can never be done
 	Decisions []Decision
 }
 
@@ -208,6 +208,6 @@
 type Inherited struct {
 	Config *lwconfig.Document
 	Jobs   []*lwjob.Job
-	Roster []lwjob.WorkerLife
+	Roster []lwjob.RosterEntry
 	Pairs  []lwjob.Disturbance
 }
--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -78,11 +78,18 @@
 	Born   lwunit.Millis   `json:"born"` // tells lives under one id apart
 }
 
+// RosterEntry is a worker life that may hold runs and the agent beside it: a
+// newer life at the same agent means that this one is over.
+type RosterEntry struct {
+	Life  WorkerLife `json:"life"`
+	Agent string     `json:"agent"`
+}
+
 // Contents is what a snapshot holds.
 type Contents struct {
 	Config *lwconfig.Document    `json:"config,omitempty"`
 	Jobs   map[lwunit.JobID]*Job `json:"jobs"`
-	Roster []WorkerLife          `json:"roster,omitempty"`
+	Roster []RosterEntry         `json:"roster,omitempty"`
 	Waves  map[WaveID]*Wave      `json:"waves,omitempty"`
 
 	Disturbances []Disturbance `json:"disturbances,omitempty"`
@@ -160,7 +167,7 @@
 }
 
 // Roster returns the worker lives that may hold runs.
-func (t *Table) Roster() []WorkerLife { return t.c.Roster }
+func (t *Table) Roster() []RosterEntry { return t.c.Roster }
 
 // Configure puts a document in force if its version is higher.
 func (t *Table) Configure(d lwconfig.Document) (changed bool) {
@@ -290,7 +297,7 @@
 }
 
 // Enrol notes that a worker life may hold runs.
-func (t *Table) Enrol(w WorkerLife) {
+func (t *Table) Enrol(w RosterEntry) {
 	if !slices.Contains(t.c.Roster, w) {
 		t.c.Roster = append(t.c.Roster, w)
 	}
@@ -298,5 +305,5 @@
 
 // Dismiss notes that a worker life holds no runs any more.
 func (t *Table) Dismiss(w WorkerLife) {
-	t.c.Roster = slices.DeleteFunc(t.c.Roster, func(o WorkerLife) bool { return o == w })
+	t.c.Roster = slices.DeleteFunc(t.c.Roster, func(o RosterEntry) bool { return o.Life == w })
 }
--- a/internal/control/lwstate/queue.go
+++ b/internal/control/lwstate/queue.go
@@ -34,8 +34,8 @@
 
 // ChangeRoster adds and removes worker lives that may hold runs.
 type ChangeRoster struct {
-	Enrol   []lwjob.WorkerLife `json:"enrol,omitempty"`
-	Dismiss []lwjob.WorkerLife `json:"dismiss,omitempty"`
+	Enrol   []lwjob.RosterEntry `json:"enrol,omitempty"`
+	Dismiss []lwjob.WorkerLife  `json:"dismiss,omitempty"`
 }
 
 // StartWave begins an upkeep wave. The same number again changes nothing.
