Let replicas announce themselves to seeds that have none

Change: replicas announce the members and the leader to all control processes they know, seeds included.

--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -76,23 +76,28 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.hosted.cancel = cancel
-	go n.hosted.followLeader(ctx)
+	lwcontrol.HearAnnouncements(n.endpoint, n.hosted.client)
+	go n.followLeader(ctx)
 	var err error
 	n.hosted.server, err = lwhttp.Listen(lwhttp.Config{Name: "operators", Address: h.ControlAddress, Handler: platform.OperatorHandler(n.hosted.client)})
 	return err
 }
 
 const (
-	followInterval = time.Second
+	followInterval = 500 * time.Millisecond
 	followTimeout  = 900 * time.Millisecond
 )
 
 // followLeader keeps the client's knowledge of the leader and the replicas
-// fresh, so that operators' requests go straight there.
-func (h *hosted) followLeader(ctx context.Context) {
+// fresh, so that operators' requests go straight there, and tells the other
+// control processes that are known.
+func (n *Node) followLeader(ctx context.Context) {
 	for ctx.Err() == nil {
+		if n.control != nil {
+			n.control.Announce(ctx, n.hosted.client.Addresses())
+		}
 		call, cancel := context.WithTimeout(ctx, followTimeout)
-		_ = h.client.ProbeLeader(call) // operators are told when their own requests fail
+		_ = n.hosted.client.ProbeLeader(call) // operators are told when their own requests fail
 		cancel()
 		select {
 		case <-ctx.Done():
--- a/internal/control/lwcontrol/found_test.go
+++ b/internal/control/lwcontrol/found_test.go
@@ -61,6 +61,25 @@
 	return e
 }
 
+// expectRelayLearns starts a relay whose seeds name no replica, as after an
+// exchange of the seeds and a restart, and expects it to learn of the leader.
+func expectRelayLearns(t *testing.T, n *Node) {
+	t.Helper()
+	e := foundEndpoint(t)
+	client := lwlink.NewClient(e, []string{e.Address()})
+	relay := StartRelay(RelayConfig{Address: e.Address(), Seeds: []string{e.Address()}, Voters: 3}, e, client, zap.NewNop())
+	t.Cleanup(relay.Stop)
+	HearAnnouncements(e, client)
+	n.Announce(t.Context(), []string{e.Address()})
+	deadline := time.Now().Add(5 * time.Second)
+	for client.Leader() == "" || len(client.Addresses()) < 4 {
+		if time.Now().After(deadline) {
+			t.Fatalf("the relay knows %v, led by %q", client.Addresses(), client.Leader())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // The seeds name a VM without a disk and two of four with one; a group of
 // three voters is founded, and the fourth replica becomes a learner.
 func TestFoundFromSeedsThatNameNotAll(t *testing.T) {
@@ -87,6 +106,7 @@
 			if r := n.current(); r != nil && n.Leads() {
 				m := r.current().membership
 				if len(m.Voters) == 3 && len(m.Learners) == 1 {
+					expectRelayLearns(t, n)
 					return
 				}
 			}
--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -28,6 +28,7 @@
 	MethodReport        = "worker.report"
 	MethodOrders        = "agent.orders"
 	MethodLeader        = "control.leader"
+	MethodAnnounce      = "control.announce"
 )
 
 // QueueMethods are the methods that only the leader serves.
@@ -275,6 +276,23 @@
 	}
 }
 
+// Announcement says which replicas there are.
+type Announcement struct {
+	Control []string `json:"control"` // RPC addresses
+	Leader  string   `json:"leader,omitempty"`
+}
+
+// Hear takes in an announcement. The leader that it names is tried first
+// unless one has answered.
+func (c *Client) Hear(m Announcement) {
+	c.addMembers(m.Control)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == "" {
+		c.leader = m.Leader
+	}
+}
+
 // Addresses returns the RPC addresses of the replicas that are known.
 func (c *Client) Addresses() []string {
 	c.mu.Lock()
