Keep serving tasks that bear little filling work together

Cause: under heavy load each worker held a task that some filling image disturbs, so that most filling work had no place where it could run at full pace. Change: placement weighs how much of the asked filling work a serving image bears; while filling work waits, one sensitive task at a time moves to its like.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -125,8 +125,10 @@
 	missing map[lwjob.WorkerLife]absent // roster lives that have not reported yet
 	learned map[lwconfig.QueueKey]*durations
 	pairs   pairs
-	ready   []*step // steps whose turn has come and that have tasks left
-	timed   []*step // first steps that wait for their time
+	demand  map[string]float64 // filling work that jobs ask for, by image
+	movedAt time.Duration      // when a serving task was moved last
+	ready   []*step            // steps whose turn has come and that have tasks left
+	timed   []*step            // first steps that wait for their time
 	out     Effects
 }
 
@@ -137,7 +139,7 @@
 	c := &Core{
 		cfg: cfg, term: term, now: now, wall: wall, config: in.Config,
 		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
-		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs),
+		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs), demand: make(map[string]float64),
 	}
 	c.pairs.recall(in.Pairs)
 	for _, e := range in.Roster {
@@ -253,6 +255,7 @@
 	j := c.buildJob(rec)
 	c.jobs[j.spec.ID] = j
 	c.expect(j)
+	c.noteDemand(j)
 	for _, steps := range j.steps {
 		for _, s := range steps {
 			if s.waiting == 0 && s.left > 0 {
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -212,7 +212,7 @@
 	case s.spec.LongRunning:
 		// Long-running tasks are packed, like with like, so that other workers
 		// stay free of tasks that filling work could disturb.
-		cost = 1 - cost - sameImage*w.shareOf(s.spec.Image)
+		cost = 1 - cost - sameImage*w.shareOf(s.spec.Image) + c.misplaced(s, w)
 	case s.spec.Filling:
 		risk, toxic := c.disturbance(s, w)
 		cost += risk
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -430,6 +430,7 @@
 			}
 		}
 	}
+	c.consolidate()
 	c.forgetOver()
 	c.wake()
 }
