--- a/internal/control/lwconfig/config.go
+++ b/internal/control/lwconfig/config.go
@@ -4,7 +4,7 @@
 package lwconfig
 
 import (
-	"strings"
+	"slices"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
@@ -60,6 +60,10 @@
 	// Source is the document as the operator sent it, which a read returns
 	// unchanged.
 	Source []byte `json:"source"`
+
+	packed  []byte           // the stored form, if it was made
+	places  map[QueueKey]int // queues by key
+	lengths []int            // of prefixes, the longest first
 }
 
 // Check returns why a document cannot be put in force.
@@ -88,18 +92,40 @@
 	return nil
 }
 
-// Find returns the queue with the longest prefix of path on a host.
-func (d *Document) Find(host, path string) (Queue, bool) {
-	best := -1
+// index prepares Find, which is called for each request.
+func (d *Document) index() {
+	d.places = make(map[QueueKey]int, len(d.Queues))
+	d.lengths = nil
 	for i, q := range d.Queues {
-		if q.Key.Host == host && strings.HasPrefix(path, q.Key.Prefix) && (best < 0 || len(q.Key.Prefix) > len(d.Queues[best].Key.Prefix)) {
-			best = i
+		d.places[q.Key] = i
+		if n := len(q.Key.Prefix); !slices.Contains(d.lengths, n) {
+			d.lengths = append(d.lengths, n)
 		}
 	}
-	if best < 0 {
-		return Queue{}, false
+	slices.SortFunc(d.lengths, func(a, b int) int { return b - a })
+}
+
+// Prepare makes a document ready for many readers at a time.
+func (d *Document) Prepare() {
+	if d.places == nil {
+		d.index()
+	}
+}
+
+// Find returns the queue with the longest prefix of path on a host.
+func (d *Document) Find(host, path string) (Queue, bool) {
+	if d.places == nil {
+		d.index()
+	}
+	for _, n := range d.lengths {
+		if n > len(path) {
+			continue
+		}
+		if i, ok := d.places[QueueKey{host, path[:n]}]; ok {
+			return d.Queues[i], true
+		}
 	}
-	return d.Queues[best], true
+	return Queue{}, false
 }
 
 // Queue returns the queue of a key.
--- a/internal/control/lwcontrol/apply.go
+++ b/internal/control/lwcontrol/apply.go
@@ -35,7 +35,7 @@
 	}
 	state.SkipTo(lwunit.Revision(s.Index))
 	r.state = state
-	r.applied, r.lastSnap = s.Index, s.Index
+	r.applied, r.lastSnap, r.sinceSnap = s.Index, s.Index, 0
 	r.log.Info("state replaced by a snapshot", zap.Uint64("index", uint64(s.Index)))
 }
 
@@ -44,6 +44,7 @@
 		return
 	}
 	r.applied = e.Index
+	r.sinceSnap += len(e.Data)
 	var res lwstate.Result
 	if e.Kind == lwreplica.EntryCommand {
 		cmd, at, err := lwstate.DecodeCommand(e.Data)
@@ -94,7 +95,7 @@
 	r.mu.RUnlock()
 	term, _ := r.core.TermAt(r.applied)
 	s := lwreplica.Snapshot{Index: r.applied, Term: term, Membership: r.core.MembershipAt(r.applied)}
-	r.lastSnap = r.applied
+	r.lastSnap, r.sinceSnap = r.applied, 0
 	r.snapshotting = true
 	go func() {
 		var err error
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -27,7 +27,8 @@
 	tickInterval      = 50 * time.Millisecond
 	eventQueueLength  = 8192
 	maxEventBatch     = 2048
-	snapshotEvery     = 20000 // applied entries
+	snapshotEvery     = 20000   // applied entries
+	snapshotBytes     = 4 << 20 // of applied entries: what a new replica is sent beside the state
 	commandTimeout    = 5 * time.Second
 	diskCheckInterval = time.Second
 	leastFree         = 8 * lwunit.MiB // below it nothing new is accepted
@@ -85,6 +86,7 @@
 	senders   map[lwunit.ReplicaID]*sender
 	applied   lwreplica.Index
 	lastSnap  lwreplica.Index
+	sinceSnap int // bytes of entries applied since
 	wasLeader bool
 
 	snapshotting bool                 // one is being written in the background
@@ -326,7 +328,7 @@
 	r.view = v
 	r.mu.Unlock()
 	r.noteRole(v)
-	if r.applied-r.lastSnap >= snapshotEvery && !r.snapshotting {
+	if (r.applied-r.lastSnap >= snapshotEvery || r.sinceSnap >= snapshotBytes) && !r.snapshotting {
 		r.takeSnapshot()
 	}
 }
--- a/internal/control/lwcontrol/transport.go
+++ b/internal/control/lwcontrol/transport.go
@@ -17,6 +17,7 @@
 	methodReplica   = "replica.messages"
 	sendQueueLength = 256
 	sendBatch       = 64
+	sendBatchBytes  = 1 << 20 // of log entries in one frame, which grow by half on the wire
 )
 
 var (
@@ -162,12 +163,15 @@
 	}
 }
 
+// gather returns what waits, as much as one frame may hold.
 func (s *sender) gather(first lwreplica.Envelope) []lwreplica.Envelope {
 	batch := []lwreplica.Envelope{first}
-	for len(batch) < sendBatch {
+	size := payload(first.Body)
+	for len(batch) < sendBatch && size < sendBatchBytes {
 		select {
 		case e := <-s.queue:
 			batch = append(batch, e)
+			size += payload(e.Body)
 		default:
 			return batch
 		}
@@ -175,6 +179,22 @@
 	return batch
 }
 
+// payload returns the bytes of log or state that a message carries.
+func payload(m lwreplica.Message) int {
+	switch m := m.(type) {
+	case lwreplica.AppendRequest:
+		n := 0
+		for _, e := range m.Entries {
+			n += len(e.Data)
+		}
+		return n
+	case lwreplica.SnapshotChunk:
+		return len(m.Data)
+	default:
+		return 0
+	}
+}
+
 func (s *sender) deliver(ctx context.Context, batch []lwreplica.Envelope) {
 	w, err := encodeBatch(batch)
 	if err == nil {
--- a/internal/control/lwcontrol/transport_test.go
+++ b/internal/control/lwcontrol/transport_test.go
@@ -39,3 +39,24 @@
 		_, _ = decodeBatch(wireBatch{data}) // must not panic
 	})
 }
+
+// A replica that is far behind is sent many large messages at once; together
+// they must not exceed what a frame may hold.
+func TestGatherKeepsFramesSmall(t *testing.T) {
+	s := &sender{queue: make(chan lwreplica.Envelope, sendQueueLength)}
+	message := func() lwreplica.Envelope {
+		return lwreplica.Envelope{Body: lwreplica.AppendRequest{Entries: []lwreplica.Entry{{Data: make([]byte, 200<<10)}}}}
+	}
+	for range 40 {
+		s.queue <- message()
+	}
+	batch := s.gather(message())
+	w, err := encodeBatch(batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const frameLimit = 8 << 20 // of lwrpc
+	if len(w.Envelopes)*4/3 > frameLimit || len(batch) < 2 {
+		t.Errorf("%d messages make %d bytes", len(batch), len(w.Envelopes))
+	}
+}
--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -174,6 +174,7 @@
 	if t.c.Config != nil && d.Version <= t.c.Config.Version {
 		return false
 	}
+	d.Prepare()
 	t.c.Config = &d
 	return true
 }
--- a/internal/control/lwreplica/core.go
+++ b/internal/control/lwreplica/core.go
@@ -44,7 +44,7 @@
 func DefaultConfig(id lwunit.ReplicaID, seed uint64) Config {
 	return Config{
 		ID: id, Heartbeat: 75 * time.Millisecond, ElectionTimeout: 500 * time.Millisecond,
-		ClockRate: 0.01, MaxBatchBytes: 1 << 20, MaxInFlight: 32, ChunkBytes: 256 << 10,
+		ClockRate: 0.01, MaxBatchBytes: 128 << 10, MaxInFlight: 8, ChunkBytes: 256 << 10,
 		MaxUncommitted: 20000, Seed: seed,
 	}
 }
