--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -35,6 +35,7 @@
 	unsentLimit         = 256 << 10
 	stopLimit           = 2 * time.Second
 	watchEvery          = 50 * time.Millisecond
+	smallAnswer         = 16 << 10
 	closeGrace          = 10 * time.Millisecond
 	drainPoll           = 10 * time.Millisecond
 	connectionHeader    = "Connection"
@@ -326,6 +327,9 @@
 	defer stop()
 	out := &flowWriter{Response: res, conn: conn, nbc: nbc, stall: s.cfg.WriteStall}
 	s.cfg.Handler.ServeHTTP(out, r.WithContext(ctx))
+	if r.Close || s.draining.Load() {
+		out.flush()
+	}
 }
 
 func underlying(c net.Conn) (*nbio.Conn, bool) {
@@ -342,6 +346,7 @@
 	conn  *connection
 	nbc   *nbio.Conn
 	stall time.Duration
+	wrote int // bytes of this answer
 }
 
 // Write sends data and waits while more than unsentLimit bytes are queued.
@@ -350,6 +355,7 @@
 	if err != nil {
 		return n, fmt.Errorf("write answer: %w", err)
 	}
+	w.wrote += n
 	w.conn.mu.Lock()
 	w.conn.queued += int64(n)
 	w.conn.mu.Unlock()
@@ -391,6 +397,32 @@
 	}
 }
 
+// flush waits until the kernel has taken the whole answer. nbhttp closes a
+// connection that is not kept alive as soon as the handler returns, and what is
+// still queued then is lost.
+func (w *flowWriter) flush() {
+	deadline := time.Now().Add(w.stall)
+	last, still := int64(-1), time.Now()
+	for time.Now().Before(deadline) {
+		w.conn.mu.Lock()
+		sent, unsent, closed := w.conn.sent, w.conn.queued-w.conn.sent, w.conn.closed
+		w.conn.mu.Unlock()
+		if sent != last {
+			last, still = sent, time.Now()
+		}
+		// The headers count as sent but not as queued, so the end is near when
+		// all is sent and certain once nothing more moves.
+		if closed || (unsent <= 0 && (w.small() || time.Since(still) >= closeGrace)) {
+			return
+		}
+		time.Sleep(closeGrace / 4)
+	}
+	httpSlowReaders.Add(1)
+}
+
+// small reports whether the kernel takes the answer in one write, as a rule.
+func (w *flowWriter) small() bool { return w.wrote < smallAnswer }
+
 // Abort closes the connection under w, so that the caller sees a truncated
 // answer as an error and never as a whole one.
 func Abort(w http.ResponseWriter) {
--- a/internal/net/lwhttp/server_test.go
+++ b/internal/net/lwhttp/server_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -158,3 +161,37 @@
 		})
 	}
 }
+
+// A large answer is whole even if the caller asks for the connection to be
+// closed after it and reads slowly.
+func TestLargeAnswerOnAClosingConnection(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789abcdef"), 16<<20/16) // more than a kernel takes at once
+	s, err := lwhttp.Listen(lwhttp.Config{Name: "test", Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+	})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	for _, connection := range []string{"close", "keep-alive"} {
+		t.Run(connection, func(t *testing.T) {
+			c, err := net.Dial("tcp", s.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: a\r\nConnection: %s\r\n\r\n", connection)
+			time.Sleep(200 * time.Millisecond)
+			_ = c.SetReadDeadline(time.Now().Add(patience))
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(res.Body)
+			if err != nil || !bytes.Equal(got, body) {
+				t.Errorf("read %d of %d bytes: %v", len(got), len(body), err)
+			}
+		})
+	}
+}
