--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -72,14 +72,15 @@
 
 // The reasons for which a run surely does not exist on a worker.
 const (
-	RefusedFence   RefusalReason = "fence"   // the worker has seen a higher token
-	RefusedOld     RefusalReason = "old"     // a run as high has ended there
-	RefusedLate    RefusalReason = "late"    // the lease had ended
-	RefusedRoom    RefusalReason = "room"    // it does not fit
-	RefusedTicket  RefusalReason = "ticket"  // no valid admission ticket
-	RefusedInvalid RefusalReason = "invalid" // the worker could not read it
-	RefusedSick    RefusalReason = "sick"    // the worker is unhealthy
-	RefusedBlocked RefusalReason = "blocked" // it was stopped before it began
+	RefusedFence    RefusalReason = "fence"    // the worker has seen a higher token
+	RefusedOld      RefusalReason = "old"      // a run as high has ended there
+	RefusedLate     RefusalReason = "late"     // the lease had ended
+	RefusedRoom     RefusalReason = "room"     // it does not fit
+	RefusedTicket   RefusalReason = "ticket"   // no valid admission ticket
+	RefusedInvalid  RefusalReason = "invalid"  // the worker could not read it
+	RefusedSick     RefusalReason = "sick"     // the worker is unhealthy
+	RefusedBlocked  RefusalReason = "blocked"  // it was stopped before it began
+	RefusedDraining RefusalReason = "draining" // its agent knows that the worker leaves
 )
 
 // Refusal reports that a run surely does not exist on a worker and never will.
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -463,6 +463,10 @@
 	defer r.end(r.startSet, key)
 	maybe := false
 	for r.valid(c) && ctx.Err() == nil && !r.isStopping(key) {
+		if r.draining() {
+			r.refuse(ctx, c, o, lwdispatch.RefusedDraining, maybe)
+			return
+		}
 		until, ok := r.leaseForStart()
 		if !ok {
 			sleep(ctx, orderPause)
@@ -487,6 +491,12 @@
 	}
 }
 
+func (r *Runner) draining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info.Draining
+}
+
 func (r *Runner) isStopping(key runKey) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
