Explain a job from the logs; a line for each request; metrics of each process

Cause: on-call engineers have only logs and metrics. Change: lavenderweir explain ID; entries write a line for each request that changes something or is refused; each role serves its counters on its metrics port, named in deploy/system.toml. Before: none of it.

--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -23,7 +23,7 @@
 	Role        HostedRole `json:"role"`
 	IP          string     `json:"ip"`
 	RPCPort     int        `json:"rpc_port"`     // of the control replicas, the same on all VMs
-	MetricsPort int        `json:"metrics_port"` // 0 serves no metrics
+	MetricsPort int        `json:"metrics_port"` // 0 serves no metrics; an entry takes the port below
 	Seeds       []string   `json:"seeds"`        // addresses of up to three VMs that run control
 	Found       bool       `json:"found"`        // the whole system starts for the first time
 	Tolerate    int        `json:"tolerate"`     // VMs with a disk that may be lost at one time
@@ -57,6 +57,19 @@
 
 func (h *Hosted) at(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(h.RPCPort)) }
 
+// MetricsAddress returns where the process serves its metrics, or "". An entry
+// and a control replica may share a VM, so each role has a port of its own.
+func (h *Hosted) MetricsAddress() string {
+	if h.MetricsPort == 0 {
+		return ""
+	}
+	port := h.MetricsPort
+	if h.Role == HostedEntry {
+		port--
+	}
+	return net.JoinHostPort(h.IP, strconv.Itoa(port))
+}
+
 // ControlAddresses returns the RPC addresses of the replicas that the seeds
 // name.
 func (h *Hosted) ControlAddresses() []string {
--- /dev/null
+++ b/internal/command/lwcommand/explain.go
@@ -0,0 +1,66 @@
+package lwcommand
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/command/lwexplain"
+)
+
+var explainVerb = &verb{
+	name:  "explain",
+	short: "tell the story of one job from the logs of any processes",
+	usage: `usage: lavenderweir explain ID [--file FILE]
+
+Reads log lines and prints those about one job, its tasks or requests about it,
+oldest first, and a summary. Lines may have other text before their JSON.
+
+  --file FILE     log lines of any number of processes (default: standard input)`,
+	run: runExplain,
+}
+
+func runExplain(args []string, s streams) error {
+	id, file := "", "-"
+	p := newParser("explain")
+	p.AddPositionalValue(&id, "id", 1, true, "id of the job")
+	p.String(&file, "f", "file", "log lines")
+	if err := parse(p, args); err != nil {
+		return err
+	}
+	var in io.Reader = os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return &usageError{err.Error()}
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	story, err := lwexplain.Read(in, id)
+	if err != nil {
+		return err
+	}
+	if len(story) == 0 {
+		return lwfault.New(lwfault.NotFound, "no line is about %q", id)
+	}
+	return printStory(s, story)
+}
+
+func printStory(s streams, story []lwexplain.Line) error {
+	rows := table{{"AFTER", "PROCESS", "WHAT", "DETAILS"}}
+	for _, l := range story {
+		var details []string
+		for _, d := range l.Details {
+			details = append(details, d.Name+"="+d.Value)
+		}
+		rows = append(rows, []string{l.At.Sub(story[0].At).String(), l.Process, l.What, strings.Join(details, " ")})
+	}
+	if err := rows.write(s); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(s.out, "\n"+strings.Join(lwexplain.Summary(story), "\n"))
+	return err
+}
--- a/internal/command/lwcommand/table.go
+++ b/internal/command/lwcommand/table.go
@@ -28,6 +28,7 @@
 		workerUndrainVerb,
 		serviceListVerb,
 		statusVerb,
+		explainVerb,
 		controlReplaceVerb,
 		benchDecisionsVerb,
 		benchRequestsVerb,
--- /dev/null
+++ b/internal/command/lwexplain/story.go
@@ -0,0 +1,129 @@
+// Package lwexplain tells the story of one job or request from the log lines of
+// any number of processes: where it waited, what was decided about it, by whom
+// and on what.
+package lwexplain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLineBytes bounds one log line.
+const maxLineBytes = 1 << 20
+
+// Line is one log line that belongs to the story.
+type Line struct {
+	At      time.Time
+	Process string
+	What    string
+	Details []Detail
+}
+
+// Detail is one field of a line.
+type Detail struct{ Name, Value string }
+
+// common are the fields that every line has, or that Line holds by itself.
+var common = []string{"level", "time", "msg", "node"}
+
+// Read returns the lines about an id, oldest first. Text around the JSON of a
+// line, as collectors of logs add it, is passed over; so are lines without.
+func Read(r io.Reader, id string) ([]Line, error) {
+	var story []Line
+	scan := bufio.NewScanner(r)
+	scan.Buffer(make([]byte, 0, maxLineBytes), maxLineBytes)
+	for scan.Scan() {
+		if !bytes.Contains(scan.Bytes(), []byte(id)) {
+			continue
+		}
+		if line, ok := parse(scan.Bytes(), id); ok {
+			story = append(story, line)
+		}
+	}
+	if err := scan.Err(); err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	slices.SortStableFunc(story, func(a, b Line) int { return a.At.Compare(b.At) })
+	return story, nil
+}
+
+func parse(text []byte, id string) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	dec := json.NewDecoder(bytes.NewReader(text[start:]))
+	dec.UseNumber()
+	if dec.Decode(&fields) != nil || !mentions(fields, id) {
+		return Line{}, false
+	}
+	line := Line{Process: field(fields, "node"), What: field(fields, "msg")}
+	for _, layout := range []string{"2006-01-02T15:04:05.000Z0700", time.RFC3339Nano} {
+		if at, err := time.Parse(layout, field(fields, "time")); err == nil {
+			line.At = at
+			break
+		}
+	}
+	for name := range fields {
+		if value := field(fields, name); !slices.Contains(common, name) && value != "" && value != "0" {
+			line.Details = append(line.Details, Detail{name, value})
+		}
+	}
+	slices.SortFunc(line.Details, func(a, b Detail) int { return strings.Compare(a.Name, b.Name) })
+	return line, true
+}
+
+// mentions reports whether a field names the id: a job, one of its tasks, or
+// the path of a request about it.
+func mentions(fields map[string]any, id string) bool {
+	for name := range fields {
+		value := field(fields, name)
+		if value == id || strings.HasPrefix(value, id+".") || strings.HasSuffix(value, "/"+id) {
+			return true
+		}
+	}
+	return false
+}
+
+func field(fields map[string]any, name string) string {
+	switch v := fields[name].(type) {
+	case string:
+		return v
+	case nil:
+		return ""
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+// Summary says in one sentence each what the story shows.
+func Summary(story []Line) []string {
+	count := make(map[string]int)
+	reasons := make(map[string]int)
+	for _, l := range story {
+		count[l.What]++
+		for _, d := range l.Details {
+			if d.Name == "reason" && (l.What == "task_ended" || l.What == "task_lost" || l.What == "task_stop_ordered" || l.What == "task_start_refused") {
+				reasons[l.What+": "+d.Value]++
+			}
+		}
+	}
+	var out []string
+	for _, m := range []map[string]int{count, reasons} {
+		var names []string
+		for name := range m {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			out = append(out, fmt.Sprintf("%d x %s", m[name], name))
+		}
+	}
+	return out
+}
--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -33,12 +34,19 @@
 	runner *lwrunner.Runner
 	relay  *lwcontrol.Relay
 	server *lwhttp.Server // for operators, or for the worker beside an agent
+	metric *lwhttp.Server // counters and histograms
 	cancel context.CancelFunc
 }
 
 func (n *Node) startHosted() error {
 	h := n.settings.Hosted
 	n.hosted = &hosted{client: lwlink.NewClient(n.endpoint, h.ControlAddresses())}
+	if address := h.MetricsAddress(); address != "" {
+		var err error
+		if n.hosted.metric, err = lwhttp.Listen(lwhttp.Config{Name: "metrics", Address: address, Handler: expvar.Handler()}); err != nil {
+			return err
+		}
+	}
 	switch h.Role {
 	case lwsetting.HostedEntry:
 		return n.startIntake(h)
@@ -156,6 +164,9 @@
 		cancel()
 		h.server.Close()
 	}
+	if h.metric != nil {
+		h.metric.Close()
+	}
 	if h.relay != nil {
 		h.relay.Stop()
 	}
--- a/internal/entry/lwintake/intake.go
+++ b/internal/entry/lwintake/intake.go
@@ -15,14 +15,16 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwclock"
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwlog"
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
 )
 
 const (
-	probeInterval = 500 * time.Millisecond
-	probeTimeout  = 900 * time.Millisecond
+	probeInterval  = 500 * time.Millisecond
+	linesPerSecond = 200 // of one kind in the decision log
+	probeTimeout   = 900 * time.Millisecond
 	// staleAfter is how long an entry that reaches no leader counts as ready:
 	// longer than an election, in which other entries could do no better.
 	staleAfter  = 3 * time.Second
@@ -42,26 +44,27 @@
 
 // Intake is a running entry for jobs.
 type Intake struct {
-	log      *zap.Logger
-	client   *lwlink.Client
-	server   *lwhttp.Server
-	ready    *lwhttp.Server
-	clock    lwclock.Clock
-	seen     atomic.Int64 // when a leader answered last, on clock
-	draining atomic.Bool
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
+	log       *zap.Logger
+	decisions *lwlog.Limited
+	client    *lwlink.Client
+	server    *lwhttp.Server
+	ready     *lwhttp.Server
+	clock     lwclock.Clock
+	seen      atomic.Int64 // when a leader answered last, on clock
+	draining  atomic.Bool
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
 }
 
 // Start starts an intake.
 func Start(cfg Config, client *lwlink.Client, log *zap.Logger) (*Intake, error) {
-	in := &Intake{log: log, client: client, clock: lwclock.New()}
+	in := &Intake{log: log, decisions: lwlog.Limit(log, linesPerSecond), client: client, clock: lwclock.New()}
 	in.seen.Store(-int64(staleAfter))
 	var err error
 	if in.ready, err = lwhttp.Listen(lwhttp.Config{Name: "ready", Address: cfg.ReadinessAddress, Handler: cfg.ReadyHandler(in.Ready)}); err != nil {
 		return nil, fmt.Errorf("start intake: %w", err)
 	}
-	if in.server, err = lwhttp.Listen(lwhttp.Config{Name: "callers", Address: cfg.Address, Handler: timed(cfg.Handler)}); err != nil {
+	if in.server, err = lwhttp.Listen(lwhttp.Config{Name: "callers", Address: cfg.Address, Handler: in.observed(cfg.Handler)}); err != nil {
 		in.ready.Close()
 		return nil, fmt.Errorf("start intake: %w", err)
 	}
@@ -71,14 +74,38 @@
 	return in, nil
 }
 
-func timed(h http.Handler) http.Handler {
+// observed records the latency of each request and writes a line for each that
+// changes something or is refused.
+func (in *Intake) observed(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		began := time.Now()
-		h.ServeHTTP(w, r)
-		intakeLatency.Observe(time.Since(began))
+		out := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		h.ServeHTTP(out, r)
+		took := time.Since(began)
+		intakeLatency.Observe(took)
+		if r.Method == http.MethodGet && out.status == http.StatusOK {
+			return
+		}
+		in.decisions.Line("request", zap.String("method", r.Method), zap.String("path", r.URL.Path), zap.Int("status", out.status),
+			zap.String("retry_after", out.Header().Get("Retry-After")), zap.Duration("took", took), zap.Duration("leader_age", in.leaderAge()))
 	})
 }
 
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader sends the status.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// leaderAge returns how long ago a leader answered.
+func (in *Intake) leaderAge() time.Duration { return in.clock.Now() - time.Duration(in.seen.Load()) }
+
 // watchLeader keeps asking for the leader, so that readiness tells the truth
 // and the first request finds a connection.
 func (in *Intake) watchLeader(ctx context.Context) {
@@ -106,7 +133,7 @@
 	if in.draining.Load() {
 		return lwfault.New(lwfault.Unavailable, "this entry is leaving")
 	}
-	if age := in.clock.Now() - time.Duration(in.seen.Load()); age >= staleAfter {
+	if age := in.leaderAge(); age >= staleAfter {
 		return lwfault.New(lwfault.Unavailable, "no leader has answered for %s", age.Round(time.Millisecond))
 	}
 	return nil
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -29,7 +29,7 @@
 	leastLease     = 150 * time.Millisecond // left of the lease for a start to be worth sending
 	silentAfter    = 3                      // holds without an answer until the worker counts as silent
 	workerRate     = 0.98                   // least rate of the worker's clock against this one
-	linesPerSecond = 200                   // of one kind in the decision log
+	linesPerSecond = 200                    // of one kind in the decision log
 	parallelOrders = 6                      // calls to the worker at one time, beside the hold
 )
 
