--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -401,6 +401,9 @@
 // connection that is not kept alive as soon as the handler returns, and what is
 // still queued then is lost.
 func (w *flowWriter) flush() {
+	if w.wrote < smallAnswer {
+		return // nbhttp writes it after the handler, and the kernel takes it at once
+	}
 	deadline := time.Now().Add(w.stall)
 	last, still := int64(-1), time.Now()
 	for time.Now().Before(deadline) {
@@ -412,7 +415,7 @@
 		}
 		// The headers count as sent but not as queued, so the end is near when
 		// all is sent and certain once nothing more moves.
-		if closed || (unsent <= 0 && (w.small() || time.Since(still) >= closeGrace)) {
+		if closed || (unsent <= 0 && time.Since(still) >= closeGrace) {
 			return
 		}
 		time.Sleep(closeGrace / 4)
@@ -420,9 +423,6 @@
 	httpSlowReaders.Add(1)
 }
 
-// small reports whether the kernel takes the answer in one write, as a rule.
-func (w *flowWriter) small() bool { return w.wrote < smallAnswer }
-
 // Abort closes the connection under w, so that the caller sees a truncated
 // answer as an error and never as a whole one.
 func Abort(w http.ResponseWriter) {
--- a/internal/net/lwhttp/server_test.go
+++ b/internal/net/lwhttp/server_test.go
@@ -195,3 +195,22 @@
 		})
 	}
 }
+
+// A small answer does not wait for anything before its connection is closed.
+func TestSmallAnswerOnAClosingConnection(t *testing.T) {
+	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(ok)})
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Address()+"/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Close = true
+	began := time.Now()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	if took := time.Since(began); err != nil || string(body) != "ok" || took > time.Second {
+		t.Errorf("read %q after %s: %v", body, took, err)
+	}
+}
