Order waiting steps by what finishing their job yields

Change: within a priority, yield for the work that is left, more for jobs that may wait less; the yield of a job grows with its size less than its work does.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -66,6 +66,7 @@
 	term     uint64
 	accepted time.Duration // on the leader's clock
 	chain    time.Duration // expected time of its longest chain
+	work     float64       // when it was accepted, in millicore seconds
 	steps    [][]*step     // by occurrence
 	started  bool
 	stopped  bool // cancelled, failed or done: nothing of it may start
@@ -110,26 +111,27 @@
 
 // Core is the dispatcher of one term. It is not safe for concurrent use.
 type Core struct {
-	cfg     Config
-	term    uint64
-	now     time.Duration
-	wall    lwunit.Millis // wall clock at now
-	config  *lwconfig.Document
-	jobs    map[lwunit.JobID]*job
-	over    map[lwunit.JobID]*job      // ended in this term; some of their runs may still be stopping
-	ended   map[lwunit.JobID]lwjob.Job // ended before this term
-	workers map[lwjob.WorkerLife]*worker
-	order   []*worker // workers in a fixed order
-	agents  map[string]lwjob.WorkerLife
-	fences  map[lwjob.WorkerLife]Token  // last tokens of lives that were given up
-	missing map[lwjob.WorkerLife]absent // roster lives that have not reported yet
-	learned map[lwconfig.QueueKey]*durations
-	pairs   pairs
-	demand  map[string]float64 // filling work that jobs ask for, by image
-	movedAt time.Duration      // when a serving task was moved last
-	ready   []*step            // steps whose turn has come and that have tasks left
-	timed   []*step            // first steps that wait for their time
-	out     Effects
+	cfg      Config
+	term     uint64
+	now      time.Duration
+	wall     lwunit.Millis // wall clock at now
+	config   *lwconfig.Document
+	jobs     map[lwunit.JobID]*job
+	over     map[lwunit.JobID]*job      // ended in this term; some of their runs may still be stopping
+	ended    map[lwunit.JobID]lwjob.Job // ended before this term
+	workers  map[lwjob.WorkerLife]*worker
+	order    []*worker // workers in a fixed order
+	agents   map[string]lwjob.WorkerLife
+	fences   map[lwjob.WorkerLife]Token  // last tokens of lives that were given up
+	missing  map[lwjob.WorkerLife]absent // roster lives that have not reported yet
+	learned  map[lwconfig.QueueKey]*durations
+	pairs    pairs
+	meanWork map[lwconfig.QueueKey]float64 // of a job, in millicore seconds
+	demand   map[string]float64            // filling work that jobs ask for, by image
+	movedAt  time.Duration                 // when a serving task was moved last
+	ready    []*step                       // steps whose turn has come and that have tasks left
+	timed    []*step                       // first steps that wait for their time
+	out      Effects
 }
 
 // New returns the dispatcher of a leader that begins its term. Workers that
@@ -139,7 +141,7 @@
 	c := &Core{
 		cfg: cfg, term: term, now: now, wall: wall, config: in.Config,
 		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
-		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs), demand: make(map[string]float64),
+		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs), demand: make(map[string]float64), meanWork: make(map[lwconfig.QueueKey]float64),
 	}
 	c.pairs.recall(in.Pairs)
 	for _, e := range in.Roster {
@@ -256,6 +258,7 @@
 	c.jobs[j.spec.ID] = j
 	c.expect(j)
 	c.noteDemand(j)
+	c.noteWork(j)
 	for _, steps := range j.steps {
 		for _, s := range steps {
 			if s.waiting == 0 && s.left > 0 {
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -379,3 +379,22 @@
 	f.submit("more", s)
 	expectStarts(t, f.starts("w1"))
 }
+
+// Overload of filling jobs: what is nearly finished goes before a fresh job of
+// the same size, since the room it takes yields more.
+func TestOverloadFinishesWhatIsNearlyDone(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	fill := func(n int, depends ...int) lwjob.Step {
+		s := tasks(n, 4, time.Second, depends...)
+		s.Filling = true
+		return s
+	}
+	f.submit("old", fill(1), fill(1, 0))
+	first := f.run("w1")
+	expectStarts(t, first, "old.0.0.0/1")
+	f.pass(time.Second)
+	f.submit("new", fill(1), fill(1, 0))
+	f.end("w1", first[0], lwjob.EndDone)
+	expectStarts(t, f.starts("w1"), "old.0.1.0/1")
+}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -12,41 +12,88 @@
 // Schedule starts what may start now, the most urgent first.
 func (c *Core) Schedule() {
 	c.wake()
-	type candidate struct {
-		step  *step
-		slack time.Duration
-	}
 	list := make([]candidate, 0, len(c.ready))
 	for _, s := range c.ready {
 		if c.mayStart(s) {
-			list = append(list, candidate{s, c.slack(s)})
+			slack := c.slack(s)
+			list = append(list, candidate{s, slack, c.worthOf(s.job, slack)})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b candidate) int { return compareUrgency(a.step, a.slack, b.step, b.slack) })
+	slices.SortStableFunc(list, compareUrgency)
 	for _, x := range list {
 		c.placeStep(x.step, x.slack)
 	}
 }
 
+// candidate is a step that may start now.
+type candidate struct {
+	step  *step
+	slack time.Duration // until its job would miss its objective
+	worth float64       // of starting it, against others of its priority
+}
+
 // compareUrgency orders steps: those that can still be on time before those
-// that cannot, then by the queue's priority, then by the time they may wait.
-func compareUrgency(a *step, slackA time.Duration, b *step, slackB time.Duration) int {
-	if late := boolOrder(slackA < 0, slackB < 0); late != 0 {
+// that cannot, then by the queue's priority, then by what they are worth.
+func compareUrgency(a, b candidate) int {
+	if late := boolOrder(a.slack < 0, b.slack < 0); late != 0 {
 		return late
 	}
-	if d := int(a.job.queue.Priority) - int(b.job.queue.Priority); d != 0 {
+	if d := int(a.step.job.queue.Priority) - int(b.step.job.queue.Priority); d != 0 {
 		return d
 	}
 	switch {
-	case slackA < slackB:
+	case a.worth > b.worth:
 		return -1
-	case slackA > slackB:
+	case a.worth < b.worth:
 		return 1
 	default:
 		return 0
 	}
 }
 
+const (
+	fixedWorth  = 0.3 // of a job of mean size, whatever its size
+	workMemory  = 0.1 // weight of a new job in the mean
+	leastChain  = 100 * time.Millisecond
+	leastRemain = 0.05 // share of a job counted as left to do at least
+)
+
+// worthOf returns what finishing a job yields for the work that is left, more
+// for one that may wait less.
+func (c *Core) worthOf(j *job, slack time.Duration) float64 {
+	mean := max(1, c.meanWork[j.queue.Key])
+	left := max(j.workLeft(c), leastRemain*j.work)
+	yield := (fixedWorth + (1-fixedWorth)*j.work/mean) / max(left/mean, leastRemain)
+	wait := float64(max(0, slack)) / float64(max(j.chain, leastChain))
+	return yield / (1 + wait)
+}
+
+// workLeft returns the work of a job's tasks that are not done, in millicore
+// seconds.
+func (j *job) workLeft(c *Core) float64 {
+	sum := 0.0
+	for _, steps := range j.steps {
+		for _, s := range steps {
+			sum += float64(s.left) * c.taskWork(j, s)
+		}
+	}
+	return sum
+}
+
+func (c *Core) taskWork(j *job, s *step) float64 {
+	return float64(s.spec.Need.Millicores) * c.expected(j, s.spec).Seconds()
+}
+
+// noteWork takes the work of a new job into the mean of its queue.
+func (c *Core) noteWork(j *job) {
+	j.work = j.workLeft(c)
+	mean, ok := c.meanWork[j.queue.Key]
+	if !ok {
+		mean = j.work
+	}
+	c.meanWork[j.queue.Key] = mean + workMemory*(j.work-mean)
+}
+
 func boolOrder(a, b bool) int {
 	switch {
 	case a == b:
