Refuse at once while no leader has answered for long

Change: after 1.2 s without a leader, requests are refused at once with a time to return; the probe goes on.

--- a/internal/control/lwlink/client.go
+++ b/internal/control/lwlink/client.go
@@ -32,9 +32,10 @@
 	addresses []string
 
 	mu     sync.Mutex
-	leader string // address of the last known leader
-	next   int    // replica to ask when no leader is known
-	reader string // replica that serves this client's watches
+	leader string    // address of the last known leader
+	next   int       // replica to ask when no leader is known
+	reader string    // replica that serves this client's watches
+	lost   time.Time // when the leader was last found missing; zero while one answers
 }
 
 // NewClient returns a client for the replicas at the given RPC addresses.
@@ -57,8 +58,12 @@
 	defer c.mu.Unlock()
 	if err == nil {
 		c.leader = from
+		c.lost = time.Time{}
 		return
 	}
+	if c.lost.IsZero() {
+		c.lost = time.Now()
+	}
 	if c.leader == from {
 		c.leader = ""
 	}
--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -139,6 +139,9 @@
 func (c *Client) callQueue(ctx context.Context, method string, params, result any) error {
 	began := time.Now()
 	maybe := false
+	if method != MethodLeader && c.lostFor() > noLeaderHold {
+		return noLeader(nil)
+	}
 	for {
 		address := c.target()
 		attempt, cancel := context.WithTimeout(ctx, queueAttempt)
@@ -162,19 +165,33 @@
 		}
 		linkRetries.Add(1)
 		if !maybe && time.Since(began) > noLeaderHold {
-			return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no control leader is known", RetryAfter: noLeaderRetry, Cause: err}
+			return noLeader(err)
 		}
 		select {
 		case <-ctx.Done():
 			if maybe {
 				return &lwfault.Fault{Kind: lwfault.Unknown, Detail: "the leader did not answer; the request may have been carried out", Cause: err}
 			}
-			return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no control leader answered in time", RetryAfter: noLeaderRetry, Cause: err}
+			return noLeader(err)
 		case <-time.After(queuePause/2 + rand.N(queuePause)):
 		}
 	}
 }
 
+func noLeader(cause error) error {
+	return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no control leader is known", RetryAfter: noLeaderRetry, Cause: cause}
+}
+
+// lostFor returns for how long no leader has answered; zero while one does.
+func (c *Client) lostFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lost.IsZero() {
+		return 0
+	}
+	return time.Since(c.lost)
+}
+
 // refuses reports whether an error says that the request was not taken.
 func refuses(err error) bool {
 	k := lwfault.KindOf(err)
--- /dev/null
+++ b/internal/control/lwlink/queue_test.go
@@ -0,0 +1,108 @@
+package lwlink_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+const testKey = "link-test-cluster-key"
+
+// leader is an endpoint that answers submissions as it is told.
+func leader(t *testing.T, answer func(ctx context.Context) (any, error)) *lwrpc.Endpoint {
+	t.Helper()
+	e, err := lwrpc.Listen("127.0.0.1:0", testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	e.Handle(lwlink.MethodSubmitSteps, func(ctx context.Context, _ *lwrpc.Session, _ json.RawMessage) (any, error) { return answer(ctx) })
+	return e
+}
+
+func submit(t *testing.T, wait time.Duration, addresses ...string) (time.Duration, error) {
+	t.Helper()
+	e, err := lwrpc.Listen("", testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return submitWith(t, lwlink.NewClient(e, addresses), wait)
+}
+
+func submitWith(t *testing.T, c *lwlink.Client, wait time.Duration) (time.Duration, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	began := time.Now()
+	err := c.SubmitSteps(ctx, lwlink.Place{}, lwjob.Spec{})
+	return time.Since(began), err
+}
+
+func expectKind(t *testing.T, err error, want lwfault.Kind) {
+	t.Helper()
+	if err == nil || lwfault.KindOf(err) != want {
+		t.Errorf("got %v, want kind %s", err, want)
+	}
+}
+
+// A caller is told "not run" only if that is certain.
+func TestRefusalsAreTrue(t *testing.T) {
+	t.Run("nobody listens", func(t *testing.T) {
+		took, err := submit(t, 3*time.Second, "127.0.0.1:1")
+		expectKind(t, err, lwfault.Unavailable)
+		if took > 2*time.Second || lwfault.As(err).RetryAfter == 0 {
+			t.Errorf("refused after %s, to return after %s", took, lwfault.As(err).RetryAfter)
+		}
+	})
+	t.Run("a leader that does not answer may have taken it", func(t *testing.T) {
+		e := leader(t, func(ctx context.Context) (any, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		_, err := submit(t, 800*time.Millisecond, e.Address())
+		expectKind(t, err, lwfault.Unknown)
+	})
+	t.Run("a refusal after such an attempt leaves it open", func(t *testing.T) {
+		calls := 0
+		e := leader(t, func(context.Context) (any, error) {
+			if calls++; calls == 1 {
+				return nil, lwfault.New(lwfault.Unknown, "no quorum answered")
+			}
+			return nil, &lwfault.Fault{Kind: lwfault.Overloaded, RetryAfter: time.Second}
+		})
+		_, err := submit(t, 3*time.Second, e.Address())
+		expectKind(t, err, lwfault.Unknown)
+	})
+	t.Run("a refusal at once is passed on", func(t *testing.T) {
+		e := leader(t, func(context.Context) (any, error) {
+			return nil, &lwfault.Fault{Kind: lwfault.Overloaded, RetryAfter: time.Second}
+		})
+		_, err := submit(t, 3*time.Second, e.Address())
+		expectKind(t, err, lwfault.Overloaded)
+	})
+}
+
+// While no leader has answered for long, a request is refused at once instead
+// of being held.
+func TestRefusedAtOnceWithoutALeader(t *testing.T) {
+	e, err := lwrpc.Listen("", testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	c := lwlink.NewClient(e, []string{"127.0.0.1:1"})
+	_, err = submitWith(t, c, 3*time.Second)
+	expectKind(t, err, lwfault.Unavailable)
+	took, err := submitWith(t, c, 3*time.Second)
+	expectKind(t, err, lwfault.Unavailable)
+	if took > 20*time.Millisecond {
+		t.Errorf("the second request was held for %s", took)
+	}
+}
