--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -41,7 +41,7 @@
 	})
 }
 
-func order(r *Runner, ctx context.Context, token lwdispatch.Token, list ...lwdispatch.Order) {
+func order(ctx context.Context, r *Runner, token lwdispatch.Token, list ...lwdispatch.Order) {
 	m := lwlink.AgentOrders{Life: testLife, Token: token}
 	for _, o := range list {
 		m.Orders = append(m.Orders, lwlink.EncodeOrder(o))
@@ -74,7 +74,7 @@
 	t.Run("a start whose answer is lost is repeated and runs once", func(t *testing.T) {
 		served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
 			w.loseStarts = 2
-			order(r, t.Context(), testToken, start("j.0.0.0", 1))
+			order(t.Context(), r, testToken, start("j.0.0.0", 1))
 			time.Sleep(time.Second)
 			expectBegun(t, w, "j.0.0.0", 1)
 			expectRefusals(t, l, "j.0.0.0")
@@ -83,7 +83,7 @@
 	t.Run("one that is carried out late does not run a second time", func(t *testing.T) {
 		served(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
 			w.dropStarts = 1
-			order(r, t.Context(), testToken, start("j.0.0.0", 1))
+			order(t.Context(), r, testToken, start("j.0.0.0", 1))
 			time.Sleep(time.Second)
 			w.end("j.0.0.0", 1)
 			w.carryOutLate()
@@ -94,7 +94,7 @@
 		served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
 			w.dropStarts = 1
 			w.refuse["j.0.0.0"] = true
-			order(r, t.Context(), testToken, start("j.0.0.0", 1))
+			order(t.Context(), r, testToken, start("j.0.0.0", 1))
 			time.Sleep(time.Second)
 			w.refuse["j.0.0.0"] = false
 			w.carryOutLate()
@@ -105,14 +105,14 @@
 	t.Run("refused at once, it is reported at once", func(t *testing.T) {
 		served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
 			w.refuse["j.0.0.0"] = true
-			order(r, t.Context(), testToken, start("j.0.0.0", 1))
+			order(t.Context(), r, testToken, start("j.0.0.0", 1))
 			time.Sleep(50 * time.Millisecond)
 			expectRefusals(t, l, "j.0.0.0", lwdispatch.RefusedRoom)
 		})
 	})
 	t.Run("an order of an earlier leader is not carried out", func(t *testing.T) {
 		served(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
-			order(r, t.Context(), testToken-1, start("j.0.0.0", 1))
+			order(t.Context(), r, testToken-1, start("j.0.0.0", 1))
 			time.Sleep(time.Second)
 			expectBegun(t, w, "j.0.0.0", 0)
 		})
@@ -120,7 +120,7 @@
 	t.Run("nothing starts on a worker that leaves", func(t *testing.T) {
 		served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
 			r.Announce(lwdispatch.WorkerInfo{Life: testLife, Service: "s", Draining: true}, 2)
-			order(r, t.Context(), testToken, start("j.0.0.0", 1))
+			order(t.Context(), r, testToken, start("j.0.0.0", 1))
 			time.Sleep(time.Second)
 			expectBegun(t, w, "j.0.0.0", 0)
 			expectRefusals(t, l, "j.0.0.0", lwdispatch.RefusedDraining)
@@ -130,7 +130,7 @@
 
 func TestEndsAreReportedAtOnce(t *testing.T) {
 	served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
-		order(r, t.Context(), testToken, start("j.0.0.0", 1))
+		order(t.Context(), r, testToken, start("j.0.0.0", 1))
 		time.Sleep(time.Second)
 		w.end("j.0.0.0", 1)
 		began := time.Now()
