Remove what nothing uses

Cause: read as a newcomer: settings, fields and functions that no code read. Change: removed. Before: two bounds in the settings had no effect.

--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -42,9 +42,7 @@
 // HostedBounds are what the provider states of its workers.
 type HostedBounds struct {
 	HoldMax      lwunit.Duration `json:"hold_max"`      // longest lease
-	Stop         lwunit.Duration `json:"stop"`          // longest time to stop a run
 	Harm         lwunit.Duration `json:"harm"`          // for which filling work may push a tail over its target
-	Restore      lwunit.Duration `json:"restore"`       // time to resume from a checkpoint
 	SpreadFactor float64         `json:"spread_factor"` // how much slower work is off its rack
 }
 
--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -117,16 +117,12 @@
 func dispatchConfig(b lwsetting.HostedBounds) lwdispatch.Config {
 	cfg := lwdispatch.DefaultConfig()
 	cfg.Lease = min(cfg.Lease, b.HoldMax.Std())
-	if b.Stop > 0 {
-		cfg.StopTime = b.Stop.Std()
-	}
 	if b.SpreadFactor > 0 {
 		cfg.SpreadFactor = b.SpreadFactor
 	}
 	if b.Harm > 0 {
 		cfg.HarmTime = b.Harm.Std()
 	}
-	cfg.Restore = b.Restore.Std()
 	return cfg
 }
 
--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -70,7 +70,7 @@
 // applied is told of each committed command, in order.
 func (d *dispatcher) applied(rev lwunit.Revision, c lwstate.Command) {
 	switch c.(type) {
-	case lwstate.Configure, lwstate.AcceptJob, lwstate.CancelSteps, lwstate.RejectSteps, lwstate.RecordEnds, lwstate.ChangeRoster:
+	case lwstate.Configure, lwstate.AcceptJob, lwstate.CancelSteps, lwstate.RecordEnds, lwstate.ChangeRoster:
 	default:
 		return
 	}
@@ -155,8 +155,6 @@
 		}
 	case lwstate.CancelSteps:
 		d.noteEnded(t, c.Job)
-	case lwstate.RejectSteps:
-		d.noteEnded(t, c.Job)
 	case lwstate.RecordEnds:
 		for _, e := range c.Ends {
 			if id, _, err := lwjob.ParseTaskName(e.Task); err == nil {
@@ -218,9 +216,6 @@
 	for _, life := range out.Dismiss {
 		delete(d.sessions, life)
 	}
-	for _, id := range out.Reject {
-		go d.propose(ctx, r, lwstate.RejectSteps{Job: id})
-	}
 	d.ends = append(d.ends, out.Ends...)
 	d.record(ctx, r)
 	for _, o := range out.Orders {
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -29,7 +29,6 @@
 	pace     int           // percent that was ordered last
 	slowedAt time.Duration // when it was last below its full pace
 	row      RunRow        // as listed last
-	copyOf   bool          // a speculative copy
 }
 
 // task is one task of an occurrence.
@@ -360,20 +359,6 @@
 	c.timed = slices.DeleteFunc(c.timed, due)
 }
 
-// NextDue returns how long it is until a timed step becomes due.
-func (c *Core) NextDue() (time.Duration, bool) {
-	var next lwunit.Millis
-	for i, s := range c.timed {
-		if due := s.job.spec.Due(s.occ); i == 0 || due < next {
-			next = due
-		}
-	}
-	if len(c.timed) == 0 {
-		return 0, false
-	}
-	return time.Duration(max(0, next-c.wall)) * time.Millisecond, true
-}
-
 // taskDone notes that a task is done and offers what depended on its step.
 func (c *Core) taskDone(t *task) {
 	if t.done {
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -36,9 +36,6 @@
 	switch e.How {
 	case lwjob.EndDone:
 		c.noteSuccess(w)
-		if r != nil && r.copyOf {
-			s.job.started = true
-		}
 		if r != nil && !s.spec.LongRunning && len(t.failed) == 0 && t.saved == "" {
 			c.durationsOf(s.job).add(c.now - r.began)
 		}
--- a/internal/control/lwdispatch/life.go
+++ b/internal/control/lwdispatch/life.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
@@ -140,11 +139,3 @@
 		}
 	}
 }
-
-// Workers returns how many workers the core knows, and when one was last seen.
-func (c *Core) Workers() (known int, newest time.Duration) {
-	for _, w := range c.order {
-		newest = max(newest, w.seenAt)
-	}
-	return len(c.order), newest
-}
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -18,19 +18,17 @@
 	Lease        time.Duration // granted to a worker with each report
 	ClockRate    float64       // by which a worker's clock may be slow
 	LeaseSlack   time.Duration // beyond the lease until a silent worker is given up
-	StopTime     time.Duration // longest time a worker takes to stop a run
 	Resend       time.Duration // until an order that no report shows is sent again
 	SpreadFactor float64       // how much slower work is off its rack
 	Suspicion    time.Duration // for which a worker that failed is left alone first
 	HarmTime     time.Duration // for which a tail may miss its target by what fills beside it
-	Restore      time.Duration // time a run needs to resume from a checkpoint
 }
 
 // DefaultConfig returns bounds for a deployment that states none.
 func DefaultConfig() Config {
 	return Config{
-		Lease: 4 * time.Second, ClockRate: 0.02, LeaseSlack: 100 * time.Millisecond, StopTime: time.Second,
-		Resend: time.Second, SpreadFactor: 1.5, Suspicion: time.Second, Restore: 250 * time.Millisecond, HarmTime: 4 * time.Second,
+		Lease: 4 * time.Second, ClockRate: 0.02, LeaseSlack: 100 * time.Millisecond,
+		Resend: time.Second, SpreadFactor: 1.5, Suspicion: time.Second, HarmTime: 4 * time.Second,
 	}
 }
 
@@ -173,7 +171,6 @@
 	DecidedWorkerGo  DecisionKind = "worker_given_up"
 	DecidedSuspect   DecisionKind = "worker_suspected"
 	DecidedDrain     DecisionKind = "worker_draining"
-	DecidedOffice    DecisionKind = "dispatch_began"
 	DecidedAdmission DecisionKind = "job_admission"
 )
 
@@ -196,7 +193,6 @@
 	Ends      []WorkerEnd         // to be recorded, in order
 	Enrol     []lwjob.RosterEntry // to be added to the roster
 	Dismiss   []lwjob.WorkerLife  // to be taken off it
-	Reject    []lwunit.JobID      // jobs that can never be done
 	Decisions []Decision
 }
 
--- a/internal/control/lwjob/spec.go
+++ b/internal/control/lwjob/spec.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
@@ -96,30 +95,6 @@
 // Due returns the wall clock time of an occurrence.
 func (s *Spec) Due(k Occurrence) lwunit.Millis { return s.First + lwunit.Millis(k)*s.Interval }
 
-// LongRunning reports whether the job runs until it is cancelled.
-func (s *Spec) LongRunning() bool {
-	for _, st := range s.Steps {
-		if st.LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
-// LongestChain returns the estimated time of the longest chain of steps.
-func (s *Spec) LongestChain() time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
-	var longest time.Duration
-	for i, st := range s.Steps {
-		for _, d := range st.DependsOn {
-			ends[i] = max(ends[i], ends[d])
-		}
-		ends[i] += st.Estimate.Std()
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // TaskKey names one task of a job.
 type TaskKey struct {
 	Occurrence Occurrence
--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -205,13 +205,6 @@
 	return true
 }
 
-// Reject ends a job that can never be done.
-func (t *Table) Reject(id lwunit.JobID, at lwunit.Millis) {
-	if j := t.c.Jobs[id]; j != nil && !j.State.Final() {
-		t.finish(j, Failed, at)
-	}
-}
-
 // Record notes how a run ended. Noting the same end twice changes nothing.
 func (t *Table) Record(e End, at lwunit.Millis) {
 	id, key, err := ParseTaskName(e.Task)
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -216,8 +216,6 @@
 		return "accept_job"
 	case CancelSteps:
 		return "cancel_steps"
-	case RejectSteps:
-		return "reject_steps"
 	case RecordEnds:
 		return "record_ends"
 	case ChangeRoster:
@@ -304,8 +302,6 @@
 		return decodeAs[AcceptJob](w.Body)
 	case "cancel_steps":
 		return decodeAs[CancelSteps](w.Body)
-	case "reject_steps":
-		return decodeAs[RejectSteps](w.Body)
 	case "record_ends":
 		return decodeAs[RecordEnds](w.Body)
 	case "change_roster":
--- a/internal/control/lwstate/queue.go
+++ b/internal/control/lwstate/queue.go
@@ -22,11 +22,6 @@
 	Job lwunit.JobID `json:"job"`
 }
 
-// RejectSteps ends a job of steps that can never be done.
-type RejectSteps struct {
-	Job lwunit.JobID `json:"job"`
-}
-
 // RecordEnds notes how runs ended.
 type RecordEnds struct {
 	Ends []lwjob.End `json:"ends"`
@@ -63,7 +58,6 @@
 func (Configure) command()         {}
 func (AcceptJob) command()         {}
 func (CancelSteps) command()       {}
-func (RejectSteps) command()       {}
 func (RecordEnds) command()        {}
 func (ChangeRoster) command()      {}
 func (StartWave) command()         {}
@@ -82,8 +76,6 @@
 		res.Fresh = s.queues.Accept(c.Job)
 	case CancelSteps:
 		res.Fresh = s.queues.Cancel(c.Job, s.c.Clock)
-	case RejectSteps:
-		s.queues.Reject(c.Job, s.c.Clock)
 	case RecordEnds:
 		for _, e := range c.Ends {
 			s.queues.Record(e, s.c.Clock)
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -150,10 +150,3 @@
 		r.log.Info("worker left", zap.String("worker", string(id)))
 	}
 }
-
-// Announced reports whether a worker has announced itself.
-func (r *Runner) Announced() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.known
-}
