Ask the advice service which workers may run a step

Cause: queues may have a policy that only the advice service knows; starts without its ticket are refused. Before: jobs of such queues were accepted and never ran.

--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -69,10 +69,14 @@
 func (n *Node) startHostedControl(h *lwsetting.Hosted) error {
 	if h.Folder != "" {
 		var err error
+		var advisor lwcontrol.Advisor
+		if h.AdviceAddress != "" {
+			advisor = platform.NewAdviceClient(h.AdviceAddress)
+		}
 		n.control, err = lwcontrol.Start(lwcontrol.Config{
 			Name: n.settings.Name, Address: h.RPCAddress(), Domain: n.settings.FailureDomain, Folder: h.Folder,
 			Replicas: h.ControlAddresses(), JoinOnly: !h.Found, Voters: h.Voters(), Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(),
-			Dispatch: dispatchConfig(h.Bounds), Seed: rand.Uint64(),
+			Dispatch: dispatchConfig(h.Bounds), Advisor: advisor, Seed: rand.Uint64(),
 		}, n.endpoint, n.log)
 		if err != nil {
 			return err
--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -44,8 +44,9 @@
 // dispatcher drives a lwdispatch.Core while this replica leads. It begins
 // afresh with each term.
 type dispatcher struct {
-	node *Node
-	kick chan struct{}
+	node      *Node
+	kick      chan struct{}
+	questions chan lwdispatch.Question
 
 	queue struct { // filled by the replica's driver, which must not wait
 		mu   sync.Mutex
@@ -64,7 +65,7 @@
 }
 
 func newDispatcher(n *Node) *dispatcher {
-	return &dispatcher{node: n, kick: make(chan struct{}, 1)}
+	return &dispatcher{node: n, kick: make(chan struct{}, 1), questions: make(chan lwdispatch.Question, questionsWaiting)}
 }
 
 // applied is told of each committed command, in order.
@@ -216,6 +217,7 @@
 	for _, life := range out.Dismiss {
 		delete(d.sessions, life)
 	}
+	d.ask(out.Questions)
 	d.ends = append(d.ends, out.Ends...)
 	d.record(ctx, r)
 	for _, o := range out.Orders {
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -51,8 +51,9 @@
 	Lease     lwlease.Config
 	Placement lwplacement.Config
 	Dispatch  lwdispatch.Config
-	JoinOnly  bool // never founds a group: one exists already
-	Voters    int  // of the group; 0 makes every one of Replicas a voter
+	Advisor   Advisor // nil where no queue needs one
+	JoinOnly  bool    // never founds a group: one exists already
+	Voters    int     // of the group; 0 makes every one of Replicas a voter
 	Seed      uint64
 }
 
@@ -214,6 +215,9 @@
 	r.observer = n.dispatcher.applied
 	go n.leader.run(ctx, r)
 	go n.dispatcher.run(ctx, r)
+	if n.cfg.Advisor != nil {
+		go n.dispatcher.advise(ctx, r)
+	}
 	go n.stayMember(ctx, r)
 	return r.run(ctx)
 }
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -54,6 +54,7 @@
 	left    int           // tasks not done
 	waiting int           // steps it depends on that are not done
 	readyAt time.Duration // when its turn came
+	advice  advice
 	feeds   []*step
 	tail    time.Duration // expected time from its start to the job's end
 }
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
@@ -398,3 +400,73 @@
 	f.end("w1", first[0], lwjob.EndDone)
 	expectStarts(t, f.starts("w1"), "old.0.1.0/1")
 }
+
+func TestAdvice(t *testing.T) {
+	advised := func(t *testing.T) *fixture {
+		f := newFixture(t)
+		f.queue.Advice = &lwconfig.Advice{Decide: 1, PerWorker: 1, Valid: lwunit.Duration(3 * time.Second)}
+		f.join(workerInfo("w1", 4))
+		f.join(workerInfo("w2", 4))
+		return f
+	}
+	ask := func(t *testing.T, f *fixture) Question {
+		t.Helper()
+		if len(f.asked) != 1 {
+			t.Fatalf("asked %v", f.asked)
+		}
+		q := f.asked[0]
+		f.asked = nil
+		return q
+	}
+	answer := func(f *fixture, q Question, admitted ...Admission) {
+		f.core.Advance(f.now, f.wall)
+		f.core.Advised(q, admitted, f.now)
+		f.step()
+	}
+	t.Run("only admitted workers are given tasks, with their ticket", func(t *testing.T) {
+		f := advised(t)
+		f.submit("j", tasks(2, 1, time.Second))
+		q := ask(t, f)
+		if q.Step != "j.0.0" || len(q.Workers) != 2 {
+			t.Errorf("asked %+v", q)
+		}
+		expectStarts(t, append(f.starts("w1"), f.starts("w2")...))
+		answer(f, q, Admission{"w2", "pass"})
+		expectStarts(t, f.starts("w1"))
+		list := f.starts("w2")
+		expectStarts(t, list, "j.0.0.0/1", "j.0.0.1/1")
+		if list[0].Ticket != "pass" {
+			t.Errorf("started with ticket %q", list[0].Ticket)
+		}
+	})
+	t.Run("a question is asked once", func(t *testing.T) {
+		f := advised(t)
+		f.submit("j", tasks(2, 1, time.Second))
+		ask(t, f)
+		f.step()
+		if len(f.asked) != 0 {
+			t.Errorf("asked again: %v", f.asked)
+		}
+	})
+	t.Run("a ticket is not used after its time", func(t *testing.T) {
+		f := advised(t)
+		f.submit("j", tasks(1, 1, time.Second), tasks(1, 1, time.Second, 0))
+		answer(f, ask(t, f), Admission{"w1", "a"})
+		list := f.run("w1")
+		for range 30 {
+			f.report("w1")
+			f.report("w2")
+			f.pass(100 * time.Millisecond)
+		}
+		f.end("w1", list[0], lwjob.EndFailed)
+		expectStarts(t, f.starts("w1"))
+		ask(t, f)
+	})
+	t.Run("a question without an answer is asked again", func(t *testing.T) {
+		f := advised(t)
+		f.submit("j", tasks(1, 1, time.Second))
+		f.core.AdviceFailed(ask(t, f))
+		f.pass(300 * time.Millisecond)
+		ask(t, f)
+	})
+}
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -87,6 +87,8 @@
 		c.refence(w)
 	case RefusedSick:
 		c.suspect(w, "it refused a start as unhealthy")
+	case RefusedTicket:
+		delete(r.task.step.advice.tickets, w.info.Life)
 	case RefusedRoom, RefusedInvalid:
 		r.task.after = c.now + c.cfg.Suspicion/4
 	}
--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -23,6 +23,7 @@
 	queue  lwconfig.Queue
 	orders map[lwunit.WorkerID][]Order
 	out    Effects // of the last step
+	asked  []Question
 	number map[lwunit.WorkerID]int64
 	infos  map[lwunit.WorkerID]WorkerInfo
 	lists  map[lwunit.WorkerID][]RunRow
@@ -55,6 +56,7 @@
 	f.core.Advance(f.now, f.wall)
 	f.core.Schedule()
 	f.out = f.core.Take()
+	f.asked = append(f.asked, f.out.Questions...)
 	for _, e := range f.out.Enrol {
 		f.table.Enrol(e)
 		f.core.Enrolled(e.Life)
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -137,6 +137,7 @@
 			w = c.chooseCrowded(s)
 		}
 		if w == nil {
+			c.seekAdvice(s)
 			return // its siblings need the same
 		}
 		c.start(t, w, t.last+1, slack)
@@ -205,8 +206,14 @@
 // running returns how many runs of a job may exist.
 func (j *job) running() int { return len(j.runs()) }
 
-// eligible reports whether the rules let a step's tasks run on a worker.
+// eligible reports whether a step's tasks may be started on a worker now.
 func (c *Core) eligible(s *step, w *worker) bool {
+	return c.suits(s, w) && c.admitted(s, w)
+}
+
+// suits reports whether the rules let a step's tasks run on a worker, but for
+// the ticket that some queues need.
+func (c *Core) suits(s *step, w *worker) bool {
 	switch {
 	case !w.enrolled || !w.current || w.silent || w.strangers || w.info.Draining || w.info.Service != s.job.queue.Service:
 		return false
@@ -305,6 +312,7 @@
 		chosen = c.spreadGang(s, c.order)
 	}
 	if chosen == nil {
+		c.seekAdvice(s)
 		return
 	}
 	var id lwjob.RunID
@@ -394,5 +402,8 @@
 }
 
 func (c *Core) startOrder(r *run) StartRun {
-	return StartRun{Task: r.task.name, Run: r.id, Text: r.task.step.job.spec.Text, Checkpoint: r.task.saved}
+	return StartRun{
+		Task: r.task.name, Run: r.id, Text: r.task.step.job.spec.Text, Checkpoint: r.task.saved,
+		Ticket: r.task.step.advice.tickets[r.worker.info.Life].text,
+	}
 }
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -172,6 +172,7 @@
 	DecidedSuspect   DecisionKind = "worker_suspected"
 	DecidedDrain     DecisionKind = "worker_draining"
 	DecidedAdmission DecisionKind = "job_admission"
+	DecidedAsk       DecisionKind = "advice_asked"
 )
 
 // Decision is one line for the decision log.
@@ -194,6 +195,7 @@
 	Enrol     []lwjob.RosterEntry // to be added to the roster
 	Dismiss   []lwjob.WorkerLife  // to be taken off it
 	Decisions []Decision
+	Questions []Question // to the advice service
 }
 
 // WorkerEnd is an end and where it was listed.
