Names and log lines that a newcomer needs

Cause: read as a newcomer: a probe's error was dropped at control processes, and three names needed explaining. Before: no line.

--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -104,13 +104,18 @@
 // fresh, so that operators' requests go straight there, and tells the other
 // control processes that are known.
 func (n *Node) followLeader(ctx context.Context) {
+	reached := true
 	for ctx.Err() == nil {
 		if n.control != nil {
 			n.control.Announce(ctx, n.hosted.client.Addresses())
 		}
 		call, cancel := context.WithTimeout(ctx, followTimeout)
-		_ = n.hosted.client.ProbeLeader(call) // operators are told when their own requests fail
+		err := n.hosted.client.ProbeLeader(call)
 		cancel()
+		if is := err == nil; is != reached && ctx.Err() == nil {
+			reached = is
+			n.log.Info("leader", zap.Bool("reached", is), zap.Error(err))
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(followInterval):
--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -285,6 +285,6 @@
 		return lwlink.ReportReply{}, lwfault.New(lwfault.NotLeader, "leadership was lost")
 	}
 	return lwlink.ReportReply{
-		Token: g.Token, Lease: lwunit.Duration(g.Lease), Cursor: g.Cursor, Brisk: g.Brisk, Control: memberAddresses(r.current()),
+		Token: g.Token, Lease: lwunit.Duration(g.Lease), Cursor: g.Cursor, FastReports: g.FastReports, Control: memberAddresses(r.current()),
 	}, nil
 }
--- a/internal/control/lwdispatch/consolidate.go
+++ b/internal/control/lwdispatch/consolidate.go
@@ -53,9 +53,9 @@
 	robustnessLoss  = 0.3 // cost of a robust task where filling work is kept away anyway
 )
 
-// misplaced returns the cost of a serving step on a worker by what it does to
+// misplacement returns the cost of a serving step on a worker by what it does to
 // the room for filling work.
-func (c *Core) misplaced(s *step, w *worker) float64 {
+func (c *Core) misplacement(s *step, w *worker) float64 {
 	if s.spec.TailTarget <= 0 {
 		return 0
 	}
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -75,26 +75,26 @@
 
 // worker is one life of a worker.
 type worker struct {
-	info       WorkerInfo
-	token      Token
-	enrolled   bool          // the roster names it
-	silent     bool          // it does not answer its agent
-	strangers  bool          // it lists runs of jobs that nobody remembers, whose size is not known
-	current    bool          // its lists were read under the present token
-	leaseEnd   time.Duration // when all that it runs has ended unless it is renewed
-	seenAt     time.Duration
-	runs       map[runKey]*run
-	used       lwunit.Resources // of runs that count against its capacity
-	filling    lwunit.Millicores
-	overcommit float64       // millicores of filling work beyond what other tasks leave by their declarations
-	clock      lwunit.Millis // of the newest lists taken in
-	ends       int64         // highest number taken in
-	cursor     int64         // highest number recorded
-	health     health
-	over       bool // a tail on it misses its target
-	overSince  time.Duration
-	calmAt     time.Duration // when the tails beside filling work were last fine
-	pacedAt    time.Duration
+	info        WorkerInfo
+	token       Token
+	enrolled    bool          // the roster names it
+	silent      bool          // it does not answer its agent
+	unknownRuns bool          // it lists runs of jobs that nobody remembers, whose size is not known
+	current     bool          // its lists were read under the present token
+	leaseEnd    time.Duration // when all that it runs has ended unless it is renewed
+	seenAt      time.Duration
+	runs        map[runKey]*run
+	used        lwunit.Resources // of runs that count against its capacity
+	filling     lwunit.Millicores
+	overcommit  float64       // millicores of filling work beyond what other tasks leave by their declarations
+	clock       lwunit.Millis // of the newest lists taken in
+	ends        int64         // highest number taken in
+	cursor      int64         // highest number recorded
+	health      health
+	over        bool // a tail on it misses its target
+	overSince   time.Duration
+	calmAt      time.Duration // when the tails beside filling work were last fine
+	pacedAt     time.Duration
 }
 
 // absent is a worker life that an earlier leader gave tasks and that has not
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -215,7 +215,7 @@
 // the ticket that some queues need.
 func (c *Core) suits(s *step, w *worker) bool {
 	switch {
-	case !w.enrolled || !w.current || w.silent || w.strangers || w.info.Draining || w.info.Service != s.job.queue.Service:
+	case !w.enrolled || !w.current || w.silent || w.unknownRuns || w.info.Draining || w.info.Service != s.job.queue.Service:
 		return false
 	case s.spec.RequiredLabel != "" && !slices.Contains(w.info.Labels, s.spec.RequiredLabel):
 		return false
@@ -266,7 +266,7 @@
 	case s.spec.LongRunning:
 		// Long-running tasks are packed, like with like, so that other workers
 		// stay free of tasks that filling work could disturb.
-		cost = 1 - cost - sameImage*w.shareOf(s.spec.Image) + c.misplaced(s, w)
+		cost = 1 - cost - sameImage*w.shareOf(s.spec.Image) + c.misplacement(s, w)
 	case s.spec.Filling:
 		risk, toxic := c.disturbance(s, w)
 		cost += risk
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -23,7 +23,7 @@
 	}
 	w.seenAt = c.now
 	w.leaseEnd = c.now + c.leaseBound()
-	return Grant{Token: w.token, Lease: c.cfg.Lease, Cursor: w.cursor, Brisk: w.mixed()}
+	return Grant{Token: w.token, Lease: c.cfg.Lease, Cursor: w.cursor, FastReports: w.mixed()}
 }
 
 // mixed reports whether a worker runs tasks that serve beside filling work,
@@ -49,7 +49,7 @@
 		return // a newer whole list has been taken in
 	}
 	w.clock = m.Clock
-	w.strangers = false
+	w.unknownRuns = false
 	for _, row := range m.Running {
 		c.takeRow(w, row)
 	}
@@ -77,7 +77,7 @@
 	}
 	t := c.taskNamed(row.Task)
 	if t == nil {
-		w.strangers = true
+		w.unknownRuns = true
 		c.sendOrder(w, StopRun{row.Task, row.Run})
 		c.decide(Decision{Kind: DecidedStop, Task: row.Task, Run: row.Run, Worker: w.info.Life.Worker, Reason: "no job asks for it"})
 		return
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -149,10 +149,10 @@
 
 // Grant answers a report.
 type Grant struct {
-	Token  Token         // for the worker's next calls
-	Lease  time.Duration // from when the agent sent the report; zero grants nothing
-	Cursor int64         // ends up to here are recorded
-	Brisk  bool          // the worker's figures are wanted sooner
+	Token       Token         // for the worker's next calls
+	Lease       time.Duration // from when the agent sent the report; zero grants nothing
+	Cursor      int64         // ends up to here are recorded
+	FastReports bool          // the worker's figures are wanted sooner
 }
 
 // DecisionKind names what was decided or noticed.
--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -60,11 +60,11 @@
 
 // ReportReply answers a worker's report.
 type ReportReply struct {
-	Token   lwdispatch.Token `json:"token"`
-	Lease   lwunit.Duration  `json:"lease"`
-	Cursor  int64            `json:"cursor"`
-	Brisk   bool             `json:"brisk,omitempty"`   // report more often
-	Control []string         `json:"control,omitempty"` // RPC addresses of the replicas
+	Token       lwdispatch.Token `json:"token"`
+	Lease       lwunit.Duration  `json:"lease"`
+	Cursor      int64            `json:"cursor"`
+	FastReports bool             `json:"fast_reports,omitempty"` // report more often
+	Control     []string         `json:"control,omitempty"`      // RPC addresses of the replicas
 }
 
 // AgentOrders are the leader's orders to one agent. Orders are idempotent, so
--- a/internal/worker/lwrunner/hold.go
+++ b/internal/worker/lwrunner/hold.go
@@ -43,8 +43,8 @@
 
 // holdWait returns how long the worker may wait for an end before it answers.
 func (r *Runner) holdWait() time.Duration {
-	if r.interval() == briskInterval {
-		return briskInterval
+	if r.interval() == fastInterval {
+		return fastInterval
 	}
 	return holdWait
 }
--- a/internal/worker/lwrunner/report.go
+++ b/internal/worker/lwrunner/report.go
@@ -55,8 +55,8 @@
 func (r *Runner) interval() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.brisk {
-		return briskInterval
+	if r.fast {
+		return fastInterval
 	}
 	return reportInterval
 }
@@ -121,7 +121,7 @@
 		r.reported = max(r.reported, newest)
 	}
 	r.adopt(res.Token, res.Cursor)
-	r.brisk = res.Brisk
+	r.fast = res.FastReports
 	if res.Lease > 0 && !m.Silent {
 		r.deadline = max(r.deadline, sent+res.Lease.Std())
 	}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -17,7 +17,7 @@
 
 const (
 	reportInterval = 400 * time.Millisecond // between whole reports; a tenth of the usual lease
-	briskInterval  = 150 * time.Millisecond // the same while the leader watches tails
+	fastInterval   = 150 * time.Millisecond // the same while the leader watches tails
 	reportTimeout  = 600 * time.Millisecond // for the leader's answer; several round trips
 	retryPause     = 50 * time.Millisecond  // after a report that found no leader
 	callTimeout    = 300 * time.Millisecond // for an answer of the worker, which is on the same machine
@@ -78,7 +78,7 @@
 	stopping map[runKey]bool          // the same for stops
 	blocked  map[runKey]time.Duration // stops that were answered, and when
 	full     bool                     // the next report must be whole
-	brisk    bool                     // the leader wants figures sooner
+	fast     bool                     // the leader wants figures sooner
 }
 
 // New returns a runner for the agent of that name.
