Do not answer for a queue while a process is starting

Ruled out: a second leader, an old configuration. Change: a method that is not served now is refused as not_leader, which says only that another process must be asked.

--- a/internal/control/lwlink/queue_test.go
+++ b/internal/control/lwlink/queue_test.go
@@ -61,6 +61,15 @@
 			t.Errorf("refused after %s, to return after %s", took, lwfault.As(err).RetryAfter)
 		}
 	})
+	t.Run("a process that is starting and serves nothing yet knows of no queue", func(t *testing.T) {
+		e, err := lwrpc.Listen("127.0.0.1:0", testKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		_, err = submit(t, 500*time.Millisecond, e.Address())
+		expectKind(t, err, lwfault.Unavailable)
+	})
 	t.Run("a leader that does not answer may have taken it", func(t *testing.T) {
 		e := leader(t, func(ctx context.Context) (any, error) {
 			<-ctx.Done()
--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -223,7 +223,9 @@
 	f, ok := h.e.methods[r.Method]
 	h.e.mu.RUnlock()
 	if !ok {
-		return nil, lwfault.New(lwfault.NotFound, "no method %q", r.Method)
+		// A process that starts listens before its roles have registered their
+		// methods: this says nothing of what the request names.
+		return nil, lwfault.New(lwfault.NotLeader, "this process does not serve %q now", r.Method)
 	}
 	return f(ctx, h.s, params)
 }
