Never report a repeated start as refused while the first may have run

Found by reading: an order that the leader repeats, after a new connection or a restart of the agent, was refused as the first try on a draining or unhealthy worker, though the order before may have been carried out; the leader then started the task elsewhere. Change: repeated orders say so; the agent blocks the run before it reports a refusal, and does nothing where the worker lists it. Before: the new case of TestStarts fails without the flag. After: it passes.

--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -202,7 +202,9 @@
 	switch r.phase {
 	case runOrdered:
 		r.sentAt = c.now
-		c.sendOrder(r.worker, c.startOrder(r))
+		o := c.startOrder(r)
+		o.Repeated = true
+		c.sendOrder(r.worker, o)
 	case runStopping:
 		r.sentAt = c.now
 		c.sendOrder(r.worker, StopRun{r.task.name, r.id})
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -120,6 +120,7 @@
 	Text       string
 	Checkpoint string
 	Ticket     string
+	Repeated   bool // it was ordered before, and may have been carried out
 }
 
 // StopRun stops a run, or keeps it from starting.
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -69,7 +69,10 @@
 		return
 	}
 	defer r.end(r.startSet, key)
-	maybe := false
+	maybe := o.Repeated // an earlier order may have been carried out, by this process or the one before
+	if r.runs(key) {
+		return
+	}
 	for r.valid(c) && ctx.Err() == nil && !r.isStopping(key) {
 		if r.draining() {
 			r.refuse(ctx, c, o, lwdispatch.RefusedDraining, maybe)
@@ -99,6 +102,18 @@
 	}
 }
 
+// runs reports whether the worker lists a run.
+func (r *Runner) runs(key runKey) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range r.lists.Running {
+		if row.Task == key.task && row.Run == key.run {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Runner) draining() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -110,6 +110,19 @@
 			expectRefusals(t, l, "j.0.0.0", lwdispatch.RefusedRoom)
 		})
 	})
+	t.Run("one that was ordered before is not refused while it may run", func(t *testing.T) {
+		served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+			first := start("j.0.0.0", 1)
+			order(t.Context(), r, testToken, first)
+			time.Sleep(time.Millisecond) // carried out, and not listed yet
+			r.Announce(lwdispatch.WorkerInfo{Life: testLife, Service: "s", Draining: true}, 2)
+			first.Repeated = true
+			order(t.Context(), r, testToken, first)
+			time.Sleep(time.Second)
+			expectBegun(t, w, "j.0.0.0", 1)
+			expectRefusals(t, l, "j.0.0.0")
+		})
+	})
 	t.Run("an order of an earlier leader is not carried out", func(t *testing.T) {
 		served(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
 			order(t.Context(), r, testToken-1, start("j.0.0.0", 1))
