Begin no attempt that the caller cannot see answered

Change: no further attempt within 150 ms of the deadline; the request is refused as not run. A test holds back the answers of the last 140 ms; it failed before.

--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -131,6 +131,7 @@
 const (
 	queueAttempt  = 600 * time.Millisecond // for one answer of the leader: a commit on a slow disk, and two crossings
 	queuePause    = 40 * time.Millisecond  // before the next attempt
+	queueAnswer   = 150 * time.Millisecond // shortest time that a further attempt is worth: dial, two crossings and a commit
 	noLeaderHold  = 1200 * time.Millisecond
 	noLeaderRetry = time.Second // an election is over by then
 )
@@ -165,8 +166,9 @@
 			c.endpoint.Peer(address).Reset() // a silent connection never closes by itself
 		}
 		linkRetries.Add(1)
-		if !maybe && time.Since(began) > noLeaderHold {
-			return noLeader(err)
+		pause := queuePause/2 + rand.N(queuePause)
+		if !maybe && (time.Since(began) > noLeaderHold || endsWithin(ctx, pause+queueAnswer)) {
+			return noLeader(err) // an attempt cut short would leave the caller without knowing
 		}
 		select {
 		case <-ctx.Done():
@@ -174,11 +176,16 @@
 				return &lwfault.Fault{Kind: lwfault.Unknown, Detail: "the leader did not answer; the request may have been carried out", Cause: err}
 			}
 			return noLeader(err)
-		case <-time.After(queuePause/2 + rand.N(queuePause)):
+		case <-time.After(pause):
 		}
 	}
 }
 
+func endsWithin(ctx context.Context, d time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < d
+}
+
 func noLeader(cause error) error {
 	return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no control leader is known", RetryAfter: noLeaderRetry, Cause: cause}
 }
--- a/internal/control/lwlink/queue_test.go
+++ b/internal/control/lwlink/queue_test.go
@@ -70,6 +70,18 @@
 		_, err = submit(t, 500*time.Millisecond, e.Address())
 		expectKind(t, err, lwfault.Unavailable)
 	})
+	t.Run("an attempt that cannot be answered in time is not begun", func(t *testing.T) {
+		const wait = 900 * time.Millisecond
+		began := time.Now()
+		e := leader(t, func(ctx context.Context) (any, error) {
+			if time.Since(began) > wait-140*time.Millisecond {
+				<-ctx.Done()
+			}
+			return nil, lwfault.New(lwfault.NotLeader, "no leader is known")
+		})
+		_, err := submit(t, wait, e.Address())
+		expectKind(t, err, lwfault.Unavailable)
+	})
 	t.Run("a leader that does not answer may have taken it", func(t *testing.T) {
 		e := leader(t, func(ctx context.Context) (any, error) {
 			<-ctx.Done()
