Outlive a disk that takes no more bytes

A full disk leaves the log as it was before the write, so the write may be repeated; a failed sync still is final. Tests of both failed first.

--- a/internal/control/lwcontrol/apply.go
+++ b/internal/control/lwcontrol/apply.go
@@ -9,6 +9,7 @@
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 )
 
 // apply changes the state by what was committed and answers those who wait.
@@ -87,6 +88,10 @@
 // in which a leader must not be silent.
 func (r *replica) takeSnapshot() {
 	segment, err := r.wal.BeginSnapshot(r.core.EntriesAfter(r.applied))
+	if lwwal.IsNoSpace(err) {
+		r.postponeSnapshot(err)
+		return
+	}
 	if err != nil {
 		r.log.Fatal("snapshot not begun", zap.Error(err))
 	}
@@ -106,9 +111,20 @@
 	}()
 }
 
+// postponeSnapshot keeps the log uncompacted until the disk has space again.
+func (r *replica) postponeSnapshot(err error) {
+	r.snapAfter = r.now() + snapshotRetry
+	r.log.Warn("snapshot postponed", zap.Duration("for", snapshotRetry), zap.Error(err))
+}
+
 // finishSnapshot compacts the log by a snapshot that is durable.
 func (r *replica) finishSnapshot(w writtenSnapshot) {
 	r.snapshotting = false
+	if lwwal.IsNoSpace(w.err) {
+		r.sinceSnap = max(r.sinceSnap, snapshotBytes) // due again
+		r.postponeSnapshot(w.err)
+		return
+	}
 	if w.err != nil {
 		r.log.Fatal("snapshot not written", zap.Error(w.err))
 	}
--- a/internal/control/lwcontrol/disk_test.go
+++ b/internal/control/lwcontrol/disk_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -39,3 +41,46 @@
 	}
 	is.NoErr(err)
 }
+
+// A disk that takes no bytes ends nothing: new commands are refused as not
+// taken, and once there is space the replica goes on with what it held.
+func TestReplicaOutlivesADiskThatTakesNoBytes(t *testing.T) {
+	is := is.New(t)
+	disk := lwdisk.NewMemory()
+	wal, contents, err := lwwal.Open(disk, lwwal.Identity{Replica: "r"})
+	is.NoErr(err)
+	contents.Restored.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
+	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return leastFree, nil }, lwreplica.DefaultConfig("r", 1))
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.run(ctx) }()
+	propose := func() error {
+		call, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		_, _, err := r.propose(call, lwstate.Sweep{})
+		return err
+	}
+	eventually(t, "the replica leads", func() bool { return propose() == nil })
+	disk.SetFault(func(_ int, kind, _ string) lwdisk.Fault {
+		if kind == "write" {
+			return lwdisk.Fault{Err: syscall.ENOSPC, Keep: 7}
+		}
+		return lwdisk.Fault{}
+	})
+	is.Equal(lwfault.KindOf(propose()), lwfault.Unavailable) // the command that met the full disk is open
+	is.Equal(lwfault.KindOf(propose()), lwfault.NotLeader)   // the next is refused
+	disk.SetFault(nil)
+	eventually(t, "the replica goes on", func() bool { return propose() == nil })
+	cancel()
+	is.NoErr(<-ended)
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("not seen: %s", what)
+		}
+	}
+}
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -29,8 +29,10 @@
 	maxEventBatch     = 2048
 	snapshotEvery     = 20000   // applied entries
 	snapshotBytes     = 4 << 20 // of applied entries: what a new replica is sent beside the state
+	snapshotRetry     = 5 * time.Second // after a full disk kept one from being written
 	commandTimeout    = 5 * time.Second
 	diskCheckInterval = time.Second
+	fullDiskPause     = 250 * time.Millisecond // between attempts to write to a full disk
 	leastFree         = 8 * lwunit.MiB // below it nothing new is accepted
 )
 
@@ -78,6 +80,7 @@
 	observer func(lwunit.Revision, lwstate.Command) // told of each command that is applied
 	free     func() (lwunit.Bytes, error)           // space left on the disk
 	full     atomic.Bool                            // too little to accept more
+	stuck    atomic.Bool                            // the disk took no bytes; nothing goes on until it does
 
 	// Used by the driver goroutine only.
 	core      *lwreplica.Core
@@ -90,6 +93,7 @@
 	wasLeader bool
 
 	snapshotting bool                 // one is being written in the background
+	snapAfter    time.Duration        // when the next may be begun
 	written      chan writtenSnapshot // it was
 
 	mu      sync.RWMutex // guards what follows; the driver writes it
@@ -166,7 +170,7 @@
 			batch = append(batch, e)
 		}
 		batch = append(r.gather(batch), event{body: lwreplica.Flush{}})
-		if err := r.step(ctx, batch); err != nil {
+		if err := r.step(ctx, batch); ctx.Err() == nil && err != nil {
 			r.abandon(err)
 			return fmt.Errorf("control replica: %w", err)
 		}
@@ -226,7 +230,7 @@
 // perform carries out one output; more is set when entries became durable.
 func (r *replica) perform(ctx context.Context, out lwreplica.Output) (more bool, err error) {
 	r.sendAll(ctx, out.Messages)
-	if err := r.persist(out); err != nil {
+	if err := r.persistWhenPossible(ctx, out); err != nil {
 		return false, err
 	}
 	r.sendAll(ctx, out.AfterSync)
@@ -261,6 +265,30 @@
 	r.atIndex[i] = w
 }
 
+// persistWhenPossible waits for space while the disk is full. Meanwhile the
+// replica is silent, so that one with space is elected in its place.
+func (r *replica) persistWhenPossible(ctx context.Context, out lwreplica.Output) error {
+	for {
+		err := r.persist(out)
+		if !lwwal.IsNoSpace(err) {
+			r.noteStuck(false, nil)
+			return err
+		}
+		r.noteStuck(true, err)
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(fullDiskPause):
+		}
+	}
+}
+
+func (r *replica) noteStuck(stuck bool, cause error) {
+	if r.stuck.Swap(stuck) != stuck {
+		r.log.Warn("disk takes bytes", zap.Bool("ok", !stuck), zap.Error(cause))
+	}
+}
+
 func (r *replica) persist(out lwreplica.Output) error {
 	began := time.Now()
 	if out.Snapshot != nil {
@@ -328,7 +356,7 @@
 	r.view = v
 	r.mu.Unlock()
 	r.noteRole(v)
-	if (r.applied-r.lastSnap >= snapshotEvery || r.sinceSnap >= snapshotBytes) && !r.snapshotting {
+	if (r.applied-r.lastSnap >= snapshotEvery || r.sinceSnap >= snapshotBytes) && !r.snapshotting && r.now() >= r.snapAfter {
 		r.takeSnapshot()
 	}
 }
--- a/internal/control/lwcontrol/submit.go
+++ b/internal/control/lwcontrol/submit.go
@@ -35,6 +35,9 @@
 	if r.full.Load() {
 		return 0, lwstate.Result{}, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's disk is nearly full", RetryAfter: time.Minute}
 	}
+	if r.stuck.Load() {
+		return 0, lwstate.Result{}, lwfault.New(lwfault.NotLeader, "the disk of this replica takes no bytes; another will lead")
+	}
 	data, err := lwstate.EncodeCommand(c, lwunit.Millis(time.Now().UnixMilli()))
 	if err != nil {
 		return 0, lwstate.Result{}, err
--- a/internal/control/lwdisk/disk.go
+++ b/internal/control/lwdisk/disk.go
@@ -3,6 +3,7 @@
 package lwdisk
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -150,7 +151,7 @@
 		return err
 	}
 	if err := writeAndClose(f, data); err != nil {
-		return fmt.Errorf("write %s: %w", tmp, err)
+		return fmt.Errorf("write %s: %w", tmp, errors.Join(err, d.Remove(tmp)))
 	}
 	if err := d.Rename(tmp, name); err != nil {
 		return err
--- a/internal/control/lwwal/log.go
+++ b/internal/control/lwwal/log.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
+	"syscall"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
@@ -174,6 +176,9 @@
 	if err != nil {
 		return err
 	}
+	if last && beginsBehindGap(recs, r) {
+		return l.drop(name)
+	}
 	for _, rec := range recs {
 		if err := applyRecord(name, rec, r); err != nil {
 			return err
@@ -184,14 +189,23 @@
 	}
 	if good < len(segmentMagic) {
 		// The crash came before the header was durable: nothing in here counts.
-		if err := l.disk.Remove(name); err != nil {
-			return err
-		}
-		return l.disk.SyncFolder()
+		return l.drop(name)
 	}
 	return l.reopen(name, good, len(data))
 }
 
+// beginsBehindGap reports whether a segment holds the entries that follow an
+// installed snapshot which a crash kept from becoming durable. Nothing in such
+// a segment was answered for.
+func beginsBehindGap(recs []record, r *lwreplica.Restored) bool {
+	for _, rec := range recs {
+		if e, ok := decodeEntry(rec.payload); ok && rec.kind == kindEntry {
+			return e.Index > r.Snapshot.Index+lwreplica.Index(len(r.Entries))+1
+		}
+	}
+	return false
+}
+
 // reopen continues the last segment behind its last whole record.
 func (l *Log) reopen(name string, good, size int) error {
 	f, err := l.disk.Append(name)
@@ -274,8 +288,22 @@
 	return appendRecord(buf, kindHardState, l.synced, payload), nil
 }
 
-// Save makes a hard state and entries durable with one sync. After an error
-// the log accepts nothing more: a failed sync is never retried.
+// IsNoSpace reports whether an error of this package means that the disk was
+// full. The log then is as it was before the call, and the call may be repeated.
+func IsNoSpace(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
+// fail keeps an error after which the log accepts nothing more: a failed sync
+// is never retried.
+func (l *Log) fail(err error) error {
+	if !IsNoSpace(err) {
+		l.failed = err
+	}
+	return err
+}
+
+// Save makes a hard state and entries durable with one sync.
 func (l *Log) Save(hard *lwreplica.HardState, entries []lwreplica.Entry) error {
 	if hard == nil && len(entries) == 0 {
 		return nil
@@ -289,31 +317,43 @@
 		if buf, err = l.appendHardState(buf, *hard); err != nil {
 			return err
 		}
-		l.hard = *hard
 	}
 	for _, e := range entries {
 		buf = appendEntryRecord(buf, l.synced, e)
 	}
 	if err := l.write(buf); err != nil {
-		l.failed = err
-		return fmt.Errorf("save to log: %w", err)
+		return fmt.Errorf("save to log: %w", l.fail(err))
+	}
+	if hard != nil {
+		l.hard = *hard
 	}
 	if l.size >= l.segmentBytes {
-		if err := l.startSegment(nil); err != nil {
-			l.failed = err
-			return fmt.Errorf("start segment: %w", err)
+		// A full disk leaves the segment long; what was asked for is durable.
+		if err := l.startSegment(nil); err != nil && !IsNoSpace(err) {
+			return fmt.Errorf("start segment: %w", l.fail(err))
 		}
 	}
 	return nil
 }
 
+// write appends to the open segment and syncs it. What a full disk took of the
+// bytes is cut off again.
 func (l *Log) write(buf []byte) error {
 	n, err := l.file.Write(buf)
+	if IsNoSpace(err) {
+		if e := l.file.Truncate(l.size); e != nil {
+			return fmt.Errorf("cut what a full disk took: %w", e)
+		}
+		return err
+	}
 	l.size += int64(n)
 	if err != nil {
 		return err
 	}
 	if err := l.file.Sync(); err != nil {
+		if IsNoSpace(err) {
+			return fmt.Errorf("sync failed: %v", err) // nobody knows what is on the disk: not to be repeated
+		}
 		return err
 	}
 	l.synced = l.size
@@ -323,7 +363,8 @@
 }
 
 // startSegment begins a new segment with the hard state and entries, so that
-// older segments are not needed for them.
+// older segments are not needed for them. If the disk is full the old segment
+// stays open.
 func (l *Log) startSegment(entries []lwreplica.Entry) error {
 	l.seq++
 	name := segmentName(l.seq)
@@ -331,9 +372,7 @@
 	if err != nil {
 		return err
 	}
-	if l.file != nil {
-		_ = l.file.Close()
-	}
+	old := *l
 	l.file, l.size, l.synced = f, 0, 0
 	buf, err := l.appendHardState([]byte(segmentMagic), l.hard)
 	if err != nil {
@@ -343,12 +382,30 @@
 		buf = appendEntryRecord(buf, 0, e)
 	}
 	if err := l.write(buf); err != nil {
+		if IsNoSpace(err) && old.file != nil {
+			_ = f.Close()
+			l.file, l.size, l.synced = old.file, old.size, old.synced
+			if e := l.drop(name); e != nil {
+				return e
+			}
+		}
 		return err
 	}
+	if old.file != nil {
+		_ = old.file.Close()
+	}
 	walSegments.Add(1)
 	return l.disk.SyncFolder()
 }
 
+// drop removes a segment for good.
+func (l *Log) drop(name string) error {
+	if err := l.disk.Remove(name); err != nil {
+		return err
+	}
+	return l.disk.SyncFolder()
+}
+
 // SaveSnapshot replaces everything up to the snapshot's index.
 func (l *Log) SaveSnapshot(s lwreplica.Snapshot, following []lwreplica.Entry) error {
 	seq, err := l.BeginSnapshot(following)
@@ -356,8 +413,7 @@
 		return err
 	}
 	if err := l.WriteSnapshot(s, seq); err != nil {
-		l.failed = err
-		return err
+		return l.fail(err)
 	}
 	return l.EndSnapshot(seq)
 }
@@ -370,8 +426,7 @@
 		return 0, errClosed()
 	}
 	if err := l.startSegment(following); err != nil {
-		l.failed = err
-		return 0, fmt.Errorf("begin snapshot: %w", err)
+		return 0, fmt.Errorf("begin snapshot: %w", l.fail(err))
 	}
 	return l.seq, nil
 }
@@ -391,8 +446,7 @@
 		return errClosed()
 	}
 	if err := l.removeBefore(seq); err != nil {
-		l.failed = err
-		return fmt.Errorf("end snapshot: %w", err)
+		return fmt.Errorf("end snapshot: %w", l.fail(err))
 	}
 	return nil
 }
--- a/internal/control/lwwal/log_test.go
+++ b/internal/control/lwwal/log_test.go
@@ -196,6 +196,65 @@
 	is.True(s.save(nil, entry(1, 1)) != nil) // the second sync would succeed and must not be tried
 }
 
+// A full disk at any operation leaves the log usable and as it was.
+func TestFullDiskMayBeRetried(t *testing.T) {
+	full := func(kind string) func(int, string, string) lwdisk.Fault {
+		return func(_ int, k, _ string) lwdisk.Fault {
+			if k == kind {
+				return lwdisk.Fault{Err: syscall.ENOSPC, Keep: 5}
+			}
+			return lwdisk.Fault{}
+		}
+	}
+	for _, kind := range []string{"write", "append"} {
+		t.Run("no "+kind, func(t *testing.T) {
+			is := is.New(t)
+			disk := lwdisk.NewMemory()
+			s, err := open(disk)
+			is.NoErr(err)
+			is.NoErr(s.save(&lwreplica.HardState{Term: 1}, entry(1, 1), entry(2, 1)))
+			disk.SetFault(full(kind))
+			if err := s.save(&lwreplica.HardState{Term: 2}, entry(3, 2)); kind == "write" {
+				is.True(lwwal.IsNoSpace(err))
+			}
+			is.True(lwwal.IsNoSpace(s.snapshot(2)))
+			disk.SetFault(nil)
+			is.NoErr(s.save(&lwreplica.HardState{Term: 2}, entry(3, 2)))
+			is.NoErr(s.snapshot(3))
+			is.NoErr(s.save(nil, entry(4, 2)))
+			disk.Crash(nil)
+			again, err := open(disk)
+			is.NoErr(err)
+			is.True(sameRestored(again.m.acked, s.m.acked))
+		})
+	}
+}
+
+// A crash while a snapshot is installed, with entries that follow it, finds
+// the log as it was before.
+func TestCrashBetweenEntriesAndTheirSnapshot(t *testing.T) {
+	is := is.New(t)
+	disk := lwdisk.NewMemory()
+	s, err := open(disk)
+	is.NoErr(err)
+	is.NoErr(s.save(nil, entry(1, 1)))
+	disk.SetFault(func(_ int, kind, _ string) lwdisk.Fault {
+		if kind == "rename" {
+			return lwdisk.Fault{Err: syscall.EIO}
+		}
+		return lwdisk.Fault{}
+	})
+	is.True(s.log.SaveSnapshot(lwreplica.Snapshot{Index: 20, Term: 4}, []lwreplica.Entry{entry(21, 4)}) != nil)
+	disk.Crash(nil)
+	for range 2 {
+		again, err := open(disk)
+		is.NoErr(err)
+		is.True(sameRestored(again.m.acked, s.m.acked))
+		is.NoErr(again.save(nil, entry(2, 1)))
+		s.m = again.m
+	}
+}
+
 func TestDamage(t *testing.T) {
 	const segment = "log-00000000000000000001.seg"
 	build := func() *lwdisk.Memory {
