--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -27,13 +27,13 @@
 	tickInterval      = 50 * time.Millisecond
 	eventQueueLength  = 8192
 	maxEventBatch     = 2048
-	snapshotEvery     = 20000   // applied entries
-	snapshotBytes     = 4 << 20 // of applied entries: what a new replica is sent beside the state
+	snapshotEvery     = 20000           // applied entries
+	snapshotBytes     = 4 << 20         // of applied entries: what a new replica is sent beside the state
 	snapshotRetry     = 5 * time.Second // after a full disk kept one from being written
 	commandTimeout    = 5 * time.Second
 	diskCheckInterval = time.Second
 	fullDiskPause     = 250 * time.Millisecond // between attempts to write to a full disk
-	leastFree         = 8 * lwunit.MiB // below it nothing new is accepted
+	leastFree         = 8 * lwunit.MiB         // below it nothing new is accepted
 )
 
 var (
