--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -21,7 +21,8 @@
 // process has one role and learns the control replicas from seeds.
 type Hosted struct {
 	Role        HostedRole `json:"role"`
-	IP          string     `json:"ip"`
+	IP          string     `json:"ip"`             // at which other VMs reach this one
+	Bind        string     `json:"bind,omitempty"` // at which control listens for them, if it is another
 	RPCPort     int        `json:"rpc_port"`     // of the control replicas, the same on all VMs
 	MetricsPort int        `json:"metrics_port"` // 0 serves no metrics; an entry takes the port below
 	Seeds       []string   `json:"seeds"`        // addresses of up to three VMs that run control
@@ -50,9 +51,17 @@
 // many as tolerated are lost.
 func (h *Hosted) Voters() int { return 2*h.Tolerate + 1 }
 
-// RPCAddress returns where a control replica on this VM listens.
+// RPCAddress returns where others reach a control replica on this VM.
 func (h *Hosted) RPCAddress() string { return h.at(h.IP) }
 
+// ListenAddress returns the address that RPCAddress leads to.
+func (h *Hosted) ListenAddress() string {
+	if h.Bind != "" {
+		return h.at(h.Bind)
+	}
+	return h.RPCAddress()
+}
+
 func (h *Hosted) at(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(h.RPCPort)) }
 
 // MetricsAddress returns where the process serves its metrics, or "". An entry
@@ -84,6 +93,8 @@
 	switch {
 	case net.ParseIP(h.IP) == nil:
 		return "ip", "hosted.ip must be an IP address"
+	case h.Bind != "" && net.ParseIP(h.Bind) == nil:
+		return "bind", "hosted.bind must be an IP address"
 	case h.RPCPort <= 0 || h.RPCPort > 65535:
 		return "rpc_port", "hosted.rpc_port must be a port"
 	case h.Tolerate < 0:
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -85,7 +85,7 @@
 	case s.Hosted == nil:
 		return s.RPCAddress
 	case s.Hosted.Role == lwsetting.HostedControl:
-		return s.Hosted.RPCAddress()
+		return s.Hosted.ListenAddress()
 	default:
 		return ""
 	}
