--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -23,11 +23,11 @@
 	Role        HostedRole `json:"role"`
 	IP          string     `json:"ip"`             // at which other VMs reach this one
 	Bind        string     `json:"bind,omitempty"` // at which control listens for them, if it is another
-	RPCPort     int        `json:"rpc_port"`     // of the control replicas, the same on all VMs
-	MetricsPort int        `json:"metrics_port"` // 0 serves no metrics; an entry takes the port below
-	Seeds       []string   `json:"seeds"`        // addresses of up to three VMs that run control
-	Found       bool       `json:"found"`        // the whole system starts for the first time
-	Tolerate    int        `json:"tolerate"`     // VMs with a disk that may be lost at one time
+	RPCPort     int        `json:"rpc_port"`       // of the control replicas, the same on all VMs
+	MetricsPort int        `json:"metrics_port"`   // 0 serves no metrics; an entry takes the port below
+	Seeds       []string   `json:"seeds"`          // addresses of up to three VMs that run control
+	Found       bool       `json:"found"`          // the whole system starts for the first time
+	Tolerate    int        `json:"tolerate"`       // VMs with a disk that may be lost at one time
 	Folder      string     `json:"folder,omitempty"`
 
 	CallersAddress   string `json:"callers_address,omitempty"`
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -212,6 +212,24 @@
 	expectStarts(t, f.starts("w1"), "j.0.0.0/2")
 }
 
+// A job counts as waiting until a worker shows that a task of it has begun: an
+// order may be lost, or refused.
+func TestWaitingJobsAreCountedUntilTheyBegin(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, time.Second))
+	expectPending(t, f, 1) // ordered, and not seen yet
+	f.run("w1")
+	expectPending(t, f, 0)
+}
+
+func expectPending(t *testing.T, f *fixture, want int) {
+	t.Helper()
+	if got := f.core.Pending(f.queue.Key); got != want {
+		t.Errorf("%d jobs are said to wait, want %d", got, want)
+	}
+}
+
 func TestDrainingWorkerGetsNothing(t *testing.T) {
 	f := newFixture(t)
 	f.join(workerInfo("w1", 4))
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -391,7 +391,6 @@
 func (c *Core) start(t *task, w *worker, id lwjob.RunID, slack time.Duration) {
 	r := &run{task: t, id: id, worker: w, phase: runOrdered, sentAt: c.now, began: c.now, pace: fullPace}
 	t.last = id
-	t.step.job.started = true
 	c.hold(r)
 	c.noteStart(w)
 	c.sendOrder(w, c.startOrder(r))
