--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -67,6 +67,7 @@
 	key := runKey{row.Task, row.Run}
 	if r := w.runs[key]; r != nil {
 		r.row = row
+		r.task.step.job.started = true
 		if r.phase == runOrdered {
 			r.phase = runListed
 		}
