Pace filling work by what its images add to the tails beside it

Figures show what holds: a tail is its undisturbed value times one plus the sum of gains of the images beside it times the processors that they use, smoothed over about 0.4 s. Change: a Kalman filter learns the gain of each pair and the undisturbed tail of each run; placement, pace and its return go by the prediction, so a lagging figure is not acted on twice; the least urgent runs yield first; unlike serving images are kept apart where no worker can be kept free; what a run gets is compared with what its like get, not with what it declares. Trials not kept: present tails' peak of ten seconds as base, a cost by the room taken, half the prior, 25 percent as the least pace to begin at. TestTailOverItsTargetHaltsFilling uses smaller filling tasks: two of a quarter of a worker are not placed beside a tail any more before their images are known.

--- a/internal/control/lwdispatch/consolidate.go
+++ b/internal/control/lwdispatch/consolidate.go
@@ -31,7 +31,7 @@
 		bad += amount * c.pairs.risk(pairKey{fills, image})
 	}
 	if total == 0 {
-		return pairPrior
+		return unseenRisk
 	}
 	return bad / total
 }
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -27,8 +27,14 @@
 	sentAt   time.Duration // when the newest order about it was sent
 	began    time.Duration // when it was ordered first
 	pace     int           // percent that was ordered last
+	pacedAt  time.Duration // when its pace was ordered last
 	slowedAt time.Duration // when it was last below its full pace
 	row      RunRow        // as listed last
+
+	// Of a run that serves, as learned from its tail.
+	base         float64       // undisturbed tail, in milliseconds; 0 until it is seen
+	baseVariance float64       // relative
+	fitAt        time.Duration // of the last figure
 }
 
 // task is one task of an occurrence.
@@ -57,6 +63,7 @@
 	advice  advice
 	feeds   []*step
 	tail    time.Duration // expected time from its start to the job's end
+	most    float64       // largest share of the declared processors that a task of it was seen to use
 }
 
 // job is one accepted job that has not ended.
@@ -87,14 +94,18 @@
 	used        lwunit.Resources // of runs that count against its capacity
 	filling     lwunit.Millicores
 	overcommit  float64       // millicores of filling work beyond what other tasks leave by their declarations
+	measured    bool          // overcommit was
 	clock       lwunit.Millis // of the newest lists taken in
 	ends        int64         // highest number taken in
 	cursor      int64         // highest number recorded
 	health      health
 	over        bool // a tail on it misses its target
 	overSince   time.Duration
-	calmAt      time.Duration // when the tails beside filling work were last fine
-	pacedAt     time.Duration
+	raisedAt    time.Duration      // when a pace was raised last
+	felt        map[string]float64 // share of its processors that each filling image uses, smoothed as tails are
+	feltAt      time.Duration
+	asked       float64            // see askedNow; negative until it is computed
+	bears       map[string]float64 // share that each image may use where it begins, until something changes
 }
 
 // absent is a worker life that an earlier leader gave tasks and that has not
@@ -126,6 +137,7 @@
 	missing  map[lwjob.WorkerLife]absent // roster lives that have not reported yet
 	learned  map[lwconfig.QueueKey]*durations
 	pairs    pairs
+	bases    map[string]float64            // mean undisturbed tail of each image that serves, in milliseconds
 	meanWork map[lwconfig.QueueKey]float64 // of a job, in millicore seconds
 	demand   map[string]float64            // filling work that jobs ask for, by image
 	movedAt  time.Duration                 // when a serving task was moved last
@@ -141,9 +153,9 @@
 	c := &Core{
 		cfg: cfg, term: term, now: now, wall: wall, config: in.Config,
 		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
-		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs), demand: make(map[string]float64), meanWork: make(map[lwconfig.QueueKey]float64),
+		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs), bases: make(map[string]float64), demand: make(map[string]float64), meanWork: make(map[lwconfig.QueueKey]float64),
 	}
-	c.pairs.recall(in.Pairs)
+	c.pairs.recall(in.Pairs, now)
 	for _, e := range in.Roster {
 		c.missing[e.Life] = absent{e.Agent, now + c.leaseBound()}
 	}
--- a/internal/control/lwdispatch/life.go
+++ b/internal/control/lwdispatch/life.go
@@ -29,7 +29,7 @@
 			c.endLife(other, "a newer life has the same id")
 		}
 	}
-	w := &worker{info: info, token: max(tokenOf(c.term), c.fences[life]) + 1, runs: make(map[runKey]*run), calmAt: c.now, seenAt: c.now, leaseEnd: c.now + c.leaseBound()}
+	w := &worker{info: info, token: max(tokenOf(c.term), c.fences[life]) + 1, runs: make(map[runKey]*run), felt: make(map[string]float64), bears: make(map[string]float64), feltAt: c.now, seenAt: c.now, leaseEnd: c.now + c.leaseBound()}
 	c.workers[life] = w
 	c.agents[info.Agent] = life
 	c.order = append(c.order, w)
--- a/internal/control/lwdispatch/pace.go
+++ b/internal/control/lwdispatch/pace.go
@@ -2,58 +2,66 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
 const (
 	fullPace     = 100
-	paceStep     = 2                       // divides the pace of filling work when a tail is near its target
-	lowestPace   = 10                      // percent; below it filling work stands still
-	toxicPace    = 20                      // percent that a run may have beside what it is known to disturb
-	tailHigh     = 0.9                     // share of a target above which filling work yields
-	tailFar      = 2                       // times a target at which it stands still at once
-	tailCalm     = 0.65                    // share below which it may have more again
-	paceInterval = 1200 * time.Millisecond // until the effect of the last change shows in a tail
-	calmInterval = 1200 * time.Millisecond // of calm before filling work gets more
-	settleTime   = 700 * time.Millisecond  // from a start until the run shows in a figure of the last half second
-	stuckAfter   = 1500 * time.Millisecond // at a low pace until a run is moved to another worker
+	paceGrain    = 5                      // percent, in which paces are set
+	lowestPace   = 10                     // percent; below it filling work stands still
+	leastStart   = 60                     // percent at which filling work must be able to begin for a worker to be chosen
+	placeShare   = 0.7                    // of a target, that tails may reach where filling work is placed
+	slowShare    = 0.95                   // of a target, above which filling work yields
+	raiseShare   = 0.8                    // of a target, that tails may reach where paced work gets more
+	raisePause   = 600 * time.Millisecond // between two raises on a worker: until the first shows
+	settleTime   = 700 * time.Millisecond // from a start until the run shows in a figure of the last half second
+	movePace     = 80                     // percent at which a run must be able to go on elsewhere to be moved
+	stuckAfter   = 1 * time.Second        // at a low pace until a run is moved to another worker
+	leastMeasure = 20 * time.Millisecond  // between two lists that carry figures of their own
 )
 
 // checkTails paces filling work by the tails of the tasks that serve beside
-// it. A tail lags, so a change waits until the last one can show. Where one
-// image is known to disturb another, only that one yields.
-func (c *Core) checkTails(w *worker, age time.Duration) {
+// it, as the gains of the images predict them: a figure lags, so what was
+// ordered since counts, not what the figure still shows.
+func (c *Core) checkTails(w *worker) {
 	c.measureSpare(w)
-	worst, victim := 0.0, ""
-	fillers := w.fillers(c.now)
-	for _, r := range w.sortedRuns() {
-		target := r.task.step.spec.TailTarget.Std().Milliseconds()
-		if target <= 0 || r.phase != runListed || r.row.Gauge == 0 {
-			continue
-		}
-		ratio := float64(r.row.Gauge) / float64(target)
-		if c.now-w.pacedAt >= paceInterval {
-			c.pairs.learn(fillers, r.task.step.spec.Image, ratio)
-		}
-		if ratio > worst {
-			worst, victim = ratio, r.task.step.spec.Image
-		}
+	w.changed()
+	if c.now-w.feltAt >= leastMeasure {
+		w.feel(c.now)
+		c.learnTails(w)
 	}
-	if worst > tailCalm {
-		w.calmAt = c.now
+	worst := 0.0
+	for _, r := range w.serving() {
+		worst = max(worst, float64(r.row.Gauge)/float64(r.task.step.spec.TailTarget.Std().Milliseconds()))
 	}
 	c.noteOver(w, worst > 1)
-	switch {
-	case w.over && c.now-w.overSince >= c.cfg.HarmTime/2:
+	if w.over && c.now-w.overSince >= c.cfg.HarmTime/2 {
 		c.haltFilling(w)
-	case worst > tailHigh && c.now-w.pacedAt >= paceInterval+age:
-		c.yield(w, fillers, victim, worst)
-	case c.now-w.calmAt >= calmInterval && c.now-w.pacedAt >= paceInterval+age:
-		c.recover(w)
+	} else {
+		c.yield(w)
+		c.raise(w)
 	}
 	c.moveStuck(w)
 }
 
+// serving returns the runs on a worker whose tails are known.
+func (w *worker) serving() []*run {
+	var list []*run
+	for _, r := range w.sortedRuns() {
+		if r.task.step.spec.TailTarget > 0 && r.phase == runListed && r.row.Gauge > 0 {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (c *Core) learnTails(w *worker) {
+	for _, r := range w.serving() {
+		c.learnTail(w, r)
+	}
+}
+
 // noteOver notes whether a tail on a worker misses its target.
 func (c *Core) noteOver(w *worker, over bool) {
 	if over && !w.over {
@@ -68,52 +76,104 @@
 	for _, r := range w.sortedRuns() {
 		if r.task.step.spec.Filling && r.phase == runListed && r.pace > 0 {
 			c.setPace(r, 0, "a tail beside it has missed its target for too long")
-			w.pacedAt = c.now
+			w.raisedAt = c.now
 		}
 	}
 }
 
-// fillers returns the filling runs that have worked long enough to show in
-// the figures of their worker.
-func (w *worker) fillers(now time.Duration) []*run {
-	var list []*run
-	for _, r := range w.sortedRuns() {
-		if r.task.step.spec.Filling && r.phase == runListed && r.pace > 0 && now-r.began >= settleTime {
-			list = append(list, r)
+// yield lowers the pace of what disturbs a tail most until every tail is
+// expected to keep to its target.
+func (c *Core) yield(w *worker) {
+	for range len(w.runs) {
+		uses := w.uses(c.now)
+		victim, excess := (*run)(nil), 0.0
+		for _, r := range w.serving() {
+			if x := c.burden(uses, r.task.step.spec.Image) - max(0, r.room(slowShare, r.base)); x > excess {
+				victim, excess = r, x
+			}
+		}
+		if victim == nil || !c.slow(w, uses, victim, excess) {
+			return
 		}
 	}
-	return list
 }
 
-// yield lowers the pace of the filling runs that most likely disturb a task.
-func (c *Core) yield(w *worker, fillers []*run, victim string, ratio float64) {
-	culprits := c.pairs.suspects(fillers, victim)
-	for _, r := range culprits {
-		p := r.pace / paceStep
-		if p < lowestPace || ratio >= tailFar {
+// slow takes an excess off a tail by the image that adds most to it: the runs
+// of the least urgent jobs yield first, so that the others get done. It returns
+// false if nothing is left to slow.
+func (c *Core) slow(w *worker, uses map[string]float64, victim *run, excess float64) bool {
+	serves := victim.task.step.spec.Image
+	culprit, most := "", 0.0
+	for fills, share := range uses {
+		if x := c.pairs.mean(pairKey{fills, serves}) * share; x > most || (x == most && fills < culprit) {
+			culprit, most = fills, x
+		}
+	}
+	if most <= 0 {
+		return false
+	}
+	left := excess / most * uses[culprit]
+	slowed := false
+	for _, r := range slices.Backward(c.byUrgency(w)) {
+		if r.task.step.spec.Image != culprit || r.pace == 0 || left <= 0 {
+			continue
+		}
+		use := r.use(c.now)
+		p := int(float64(r.pace)*max(0, 1-left/use)) / paceGrain * paceGrain
+		if p < lowestPace {
 			p = 0
 		}
-		c.setPace(r, p, fmt.Sprintf("the tail of image %s beside it is at %.1f of its target", victim, ratio))
-		w.pacedAt = c.now
+		left -= use * (1 - float64(p)/float64(r.pace))
+		c.setPace(r, p, fmt.Sprintf("image %s would bring the tail of image %s over its target", culprit, serves))
+		slowed = true
 	}
+	return slowed
 }
 
-// recover gives paced runs more again: slowly where they are known to disturb
-// what serves here, else all at once.
-func (c *Core) recover(w *worker) {
+func (w *worker) anyPaced() bool {
+	for _, r := range w.runs {
+		if r.task.step.spec.Filling && r.phase == runListed && r.pace < fullPace {
+			return true
+		}
+	}
+	return false
+}
+
+// byUrgency returns the filling runs on a worker, those of the most urgent
+// jobs first.
+func (c *Core) byUrgency(w *worker) []*run {
+	var list []*run
 	for _, r := range w.sortedRuns() {
-		if !r.task.step.spec.Filling || r.phase != runListed || r.pace == fullPace {
-			continue
+		if r.task.step.spec.Filling && r.phase != runStopping {
+			list = append(list, r)
 		}
-		p := fullPace
-		if _, toxic := c.disturbance(r.task.step, w); toxic {
-			p = min(toxicPace, max(r.pace*paceStep, lowestPace))
+	}
+	slices.SortStableFunc(list, func(a, b *run) int { return compareUrgency(c.urgency(a.task.step), c.urgency(b.task.step)) })
+	return list
+}
+
+func (c *Core) urgency(s *step) candidate {
+	slack := c.slack(s)
+	return candidate{s, slack, c.worthOf(s.job, slack)}
+}
+
+// raise gives paced runs more, as far as every tail is expected to stay well
+// within its target.
+func (c *Core) raise(w *worker) {
+	if c.now-w.raisedAt < raisePause || w.over || !w.anyPaced() {
+		return
+	}
+	for _, r := range c.byUrgency(w) {
+		if r.phase != runListed || r.pace == fullPace {
+			continue
 		}
-		if p == r.pace {
+		share := c.bearable(r.task.step, w, raiseShare) * fullPace * w.cores() / max(1, float64(r.task.step.spec.Need.Millicores))
+		p := min(fullPace, r.pace+int(min(fullPace, share))/paceGrain*paceGrain)
+		if p < lowestPace || p < r.pace+2*paceGrain && p < fullPace {
 			continue
 		}
-		c.setPace(r, p, "tails beside it are calm")
-		w.pacedAt = c.now
+		c.setPace(r, p, "the tails beside it bear it")
+		w.raisedAt = c.now
 	}
 }
 
@@ -121,7 +181,8 @@
 	if r.pace == fullPace && percent < fullPace {
 		r.slowedAt = c.now
 	}
-	r.pace = percent
+	r.pace, r.pacedAt = percent, c.now
+	r.worker.changed()
 	c.sendOrder(r.worker, PaceRun{r.task.name, r.id, percent})
 	c.decide(Decision{Kind: DecidedPace, Percent: percent, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: r.worker.info.Life.Worker, Reason: reason})
 }
@@ -137,41 +198,53 @@
 		if !s.spec.Checkpointed && r.row.Progress > fullPace/2 {
 			continue // more would be lost than is left to do
 		}
-		if other := c.choose(s); other != nil && other != w {
+		if other := c.choose(s); other != nil && other != w && c.startPace(s, other) >= movePace {
 			c.stop(r, "it disturbs others here and has room elsewhere")
 		}
 	}
 }
 
 const (
-	keepsUp      = 0.9  // share of what settled runs ask for from which a worker may get more
-	slowsDown    = 0.75 // share below which its runs slow each other
-	spareStep    = 8    // divides a worker's processors: how much more it may get at a time
-	fewestToTell = 1    // settled runs that a judgement needs
+	keepsUp     = 0.9  // share of what its like get that a run gets where a worker may get more
+	slowsDown   = 0.8  // share below which even the best served run is slowed by others
+	spareStep   = 8    // divides a worker's processors: how much more it may get at a time
+	idleAtFirst = 0.25 // share of reserved processors that is taken as free until a worker shows
 )
 
 // measureSpare learns how much filling work a worker carries: processors that
-// its other tasks reserve but do not use are free for it.
+// its other tasks reserve but do not use are free for it. Runs that compete
+// are slowed alike, so the one that gets most of what its like get elsewhere
+// tells; declared sizes do not.
 func (c *Core) measureSpare(w *worker) {
-	var asked, used float64
-	settled := 0
+	best, used := 0.0, 0.0
 	for _, r := range w.runs {
-		if !r.task.step.spec.Filling || r.phase != runListed || c.now-r.began < settleTime || r.pace < fullPace || c.now-r.slowedAt < settleTime {
+		if !r.task.step.spec.Filling || r.phase != runListed {
 			continue
 		}
-		settled++
-		asked += float64(r.task.step.spec.Need.Millicores)
 		used += float64(r.row.Gauge)
+		if c.now-r.began >= settleTime && r.pace == fullPace && c.now-r.slowedAt >= settleTime {
+			share := float64(r.row.Gauge) / max(1, float64(r.task.step.spec.Need.Millicores))
+			r.task.step.most = max(r.task.step.most, share)
+			best = max(best, share/r.task.step.most)
+		}
 	}
-	if settled < fewestToTell {
-		return
-	}
-	declared := w.info.Capacity.Millicores - w.used.Millicores
-	switch ratio := used / asked; {
-	case ratio >= keepsUp:
-		w.overcommit = max(w.overcommit, float64(w.filling+w.info.Capacity.Millicores/spareStep-declared))
-	case ratio < slowsDown:
-		w.overcommit = max(0, float64(w.filling)*ratio-float64(declared))
+	declared := float64(w.info.Capacity.Millicores - w.used.Millicores)
+	switch {
+	case best >= keepsUp:
+		w.overcommit = max(w.spare(), w.askedNow(c.now)+w.cores()/spareStep-declared)
+		w.measured = true
+	case best > 0 && best < slowsDown:
+		w.overcommit = max(0, used-declared)
+		w.measured = true
 	}
 	w.overcommit = min(w.overcommit, float64(w.used.Millicores))
 }
+
+// spare returns the processors, in millicores, that filling work may use beyond
+// those that nobody reserves.
+func (w *worker) spare() float64 {
+	if w.measured {
+		return w.overcommit
+	}
+	return idleAtFirst * float64(w.used.Millicores)
+}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -15,8 +15,7 @@
 	list := make([]candidate, 0, len(c.ready))
 	for _, s := range c.ready {
 		if c.mayStart(s) {
-			slack := c.slack(s)
-			list = append(list, candidate{s, slack, c.worthOf(s.job, slack)})
+			list = append(list, c.urgency(s))
 		}
 	}
 	slices.SortStableFunc(list, compareUrgency)
@@ -173,13 +172,7 @@
 	if s.job.running() > 0 || c.now-s.readyAt < starvedAfter {
 		return false
 	}
-	var used, capacity lwunit.Resources
-	for _, w := range c.order {
-		if w.info.Service == s.job.queue.Service {
-			used = used.Add(w.used)
-			capacity = capacity.Add(w.info.Capacity)
-		}
-	}
+	used, capacity := c.reserved(s.job.queue.Service)
 	return float64(used.Millicores) < idleShare*float64(capacity.Millicores) && float64(used.Memory) < idleShare*float64(capacity.Memory)
 }
 
@@ -245,13 +238,27 @@
 	need := s.spec.Need
 	free := w.info.Capacity.Sub(w.used)
 	if s.spec.Filling {
-		spare := free.Millicores + lwunit.Millicores(w.overcommit) - w.filling
+		spare := free.Millicores + lwunit.Millicores(w.spare()-w.askedNow(c.now))
 		need.Millicores = 0
 		return need.Fits(free) && (s.spec.Need.Millicores <= spare || w.filling == 0)
 	}
 	return need.Fits(free)
 }
 
+// askedNow returns the processors, in millicores, that the filling runs on a
+// worker use at their present pace, as they declare it or less if they show so.
+func (w *worker) askedNow(now time.Duration) float64 {
+	if w.asked < 0 {
+		w.asked = 0
+		for _, r := range w.runs {
+			if r.task.step.spec.Filling {
+				w.asked += r.use(now) * w.cores()
+			}
+		}
+	}
+	return w.asked
+}
+
 // cost is lower where a task does better: near its data, and on workers with
 // more free room.
 func (c *Core) cost(s *step, w *worker) float64 {
@@ -266,11 +273,12 @@
 	case s.spec.LongRunning:
 		// Long-running tasks are packed, like with like, so that other workers
 		// stay free of tasks that filling work could disturb.
-		cost = 1 - cost - sameImage*w.shareOf(s.spec.Image) + c.misplacement(s, w)
+		like, other := w.mixOf(s.spec.Image)
+		cost = 1 - cost - sameImage*like + otherImage*c.crowding(s)*other + c.misplacement(s, w)
 	case s.spec.Filling:
-		risk, toxic := c.disturbance(s, w)
-		cost += risk
-		if toxic {
+		pace := c.startPace(s, w)
+		cost += 1 - pace/fullPace
+		if pace < leastStart {
 			cost += keptApart
 		}
 	}
@@ -281,19 +289,52 @@
 }
 
 const (
-	sameImage = 1  // of a worker's load, how much packing like with like counts
-	keptApart = 10 // cost at which a worker is taken only by a job that stands still
+	sameImage  = 1  // of a worker's load, how much packing like with like counts
+	otherImage = 2  // and how much keeping unlike ones apart counts
+	keptApart  = 10 // cost at which a worker is taken only by a job that stands still
 )
 
-// shareOf returns which part of the runs on a worker have an image.
-func (w *worker) shareOf(image string) float64 {
-	n := 0
+const (
+	roomyBelow = 0.7  // share of a service's processors that is reserved, up to which workers can be kept free
+	crowdedAt  = 0.85 // from which none can
+)
+
+// crowding returns from 0 to 1 how little hope there is to keep whole workers
+// of a step's service free for filling work.
+func (c *Core) crowding(s *step) float64 {
+	used, capacity := c.reserved(s.job.queue.Service)
+	share := float64(used.Millicores) / max(1, float64(capacity.Millicores))
+	return min(1, max(0, (share-roomyBelow)/(crowdedAt-roomyBelow)))
+}
+
+// reserved returns what the runs on a service's workers reserve, and what
+// these workers have.
+func (c *Core) reserved(service lwunit.ServiceName) (used, capacity lwunit.Resources) {
+	for _, w := range c.order {
+		if w.info.Service == service {
+			used = used.Add(w.used)
+			capacity = capacity.Add(w.info.Capacity)
+		}
+	}
+	return used, capacity
+}
+
+// mixOf returns which parts of the long-running tasks on a worker have an image
+// and have another.
+func (w *worker) mixOf(image string) (like, other float64) {
+	n := 0.0
 	for _, r := range w.runs {
-		if r.task.step.spec.Image == image {
-			n++
+		if !r.task.step.spec.LongRunning {
+			continue
 		}
+		if n++; r.task.step.spec.Image == image {
+			like++
+		}
+	}
+	if n == 0 {
+		return 0, 0
 	}
-	return float64(n) / float64(max(1, len(w.runs)))
+	return like / n, 1 - like/n
 }
 
 // placeGang starts all tasks of a gang at once or none. Tasks that depend on
@@ -389,7 +430,7 @@
 
 // start orders a run.
 func (c *Core) start(t *task, w *worker, id lwjob.RunID, slack time.Duration) {
-	r := &run{task: t, id: id, worker: w, phase: runOrdered, sentAt: c.now, began: c.now, pace: fullPace}
+	r := &run{task: t, id: id, worker: w, phase: runOrdered, sentAt: c.now, began: c.now, pace: c.firstPace(t.step, w)}
 	t.last = id
 	c.hold(r)
 	c.noteStart(w)
@@ -403,6 +444,15 @@
 func (c *Core) startOrder(r *run) StartRun {
 	return StartRun{
 		Task: r.task.name, Run: r.id, Text: r.task.step.job.spec.Text, Checkpoint: r.task.saved,
-		Ticket: r.task.step.advice.tickets[r.worker.info.Life].text,
+		Ticket: r.task.step.advice.tickets[r.worker.info.Life].text, Percent: r.pace,
+	}
+}
+
+// firstPace returns at which pace a task begins: filling work that got a place
+// though the tails there do not bear it works slowly.
+func (c *Core) firstPace(s *step, w *worker) int {
+	if !s.spec.Filling {
+		return fullPace
 	}
+	return max(lowestPace, int(c.startPace(s, w))/paceGrain*paceGrain)
 }
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -58,7 +58,7 @@
 		w.current = true
 		delete(c.missing, w.info.Life)
 	}
-	c.checkTails(w, m.Age.Std())
+	c.checkTails(w)
 }
 
 // takeRow notes a listed run; one that nobody here ordered is adopted if its
@@ -132,6 +132,7 @@
 // hold counts a run against its worker.
 func (c *Core) hold(r *run) {
 	w := r.worker
+	w.changed()
 	w.runs[runKey{r.task.name, r.id}] = r
 	r.task.runs = append(r.task.runs, r)
 	need := r.task.step.spec.Need
@@ -149,6 +150,7 @@
 	if w.runs[key] != r {
 		return
 	}
+	w.changed()
 	delete(w.runs, key)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	need := r.task.step.spec.Need
@@ -164,6 +166,7 @@
 	if r.phase == runStopping {
 		return
 	}
+	r.worker.changed()
 	r.phase = runStopping
 	r.sentAt = c.now
 	c.sendOrder(r.worker, StopRun{r.task.name, r.id})
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -120,6 +120,7 @@
 	Text       string
 	Checkpoint string
 	Ticket     string
+	Percent    int  // of its processors that it may use at first; 0 is all
 	Repeated   bool // it was ordered before, and may have been carried out
 }
 
--- a/internal/control/lwjob/disturbance.go
+++ b/internal/control/lwjob/disturbance.go
@@ -1,13 +1,13 @@
 package lwjob
 
-// Disturbance is what was learned of two images side by side: in how many
-// samples the tail of the one that serves missed its target beside the one
-// that fills.
+// Disturbance is what was learned of two images side by side: by how many times
+// its undisturbed value the one that fills raises the tail of the one that
+// serves, for each share of the worker's processors that it uses.
 type Disturbance struct {
-	Fills   string  `json:"fills"`
-	Serves  string  `json:"serves"`
-	Samples float64 `json:"samples"`
-	Bad     float64 `json:"bad"`
+	Fills    string  `json:"fills"`
+	Serves   string  `json:"serves"`
+	Gain     float64 `json:"gain"`
+	Variance float64 `json:"variance"`
 }
 
 // maxDisturbances bounds what is remembered; images come and go.
--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -98,7 +98,7 @@
 func EncodeOrder(o lwdispatch.Order) WireOrder {
 	switch o := o.(type) {
 	case lwdispatch.StartRun:
-		return WireOrder{Kind: orderStart, Task: o.Task, Run: o.Run, Text: o.Text, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Repeated: o.Repeated}
+		return WireOrder{Kind: orderStart, Task: o.Task, Run: o.Run, Text: o.Text, Checkpoint: o.Checkpoint, Ticket: o.Ticket, Percent: o.Percent, Repeated: o.Repeated}
 	case lwdispatch.StopRun:
 		return WireOrder{Kind: orderStop, Task: o.Task, Run: o.Run}
 	case lwdispatch.PaceRun:
@@ -113,7 +113,7 @@
 func (w WireOrder) Order() lwdispatch.Order {
 	switch w.Kind {
 	case orderStart:
-		return lwdispatch.StartRun{Task: w.Task, Run: w.Run, Text: w.Text, Checkpoint: w.Checkpoint, Ticket: w.Ticket, Repeated: w.Repeated}
+		return lwdispatch.StartRun{Task: w.Task, Run: w.Run, Text: w.Text, Checkpoint: w.Checkpoint, Ticket: w.Ticket, Percent: w.Percent, Repeated: w.Repeated}
 	case orderStop:
 		return lwdispatch.StopRun{Task: w.Task, Run: w.Run}
 	case orderPace:
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -88,6 +88,7 @@
 		switch {
 		case err == nil:
 			r.decisions.Line("start_carried_out", zap.String("task", string(o.Task)), zap.Uint64("run", uint64(o.Run)), zap.Bool("repeated", maybe))
+			r.firstPace(ctx, c, o)
 			return
 		case isRefusal && refused.Reason == lwdispatch.RefusedLate:
 			sleep(ctx, orderPause)
@@ -102,6 +103,24 @@
 	}
 }
 
+const (
+	workerPace   = 100 // percent at which a worker begins a run
+	paceAttempts = 3   // to set the pace of a run that has begun
+)
+
+// firstPace slows a run that must not begin at full pace.
+func (r *Runner) firstPace(ctx context.Context, c Call, o lwdispatch.StartRun) {
+	if o.Percent <= 0 || o.Percent >= workerPace {
+		return
+	}
+	for range paceAttempts {
+		if r.pace(ctx, c, lwdispatch.PaceRun{Task: o.Task, Run: o.Run, Percent: o.Percent}) {
+			return
+		}
+		sleep(ctx, orderPause)
+	}
+}
+
 // runs reports whether the worker lists a run.
 func (r *Runner) runs(key runKey) bool {
 	r.mu.Lock()
@@ -200,11 +219,13 @@
 
 // pace limits a run. A pace that is lost is ordered again by the next report
 // that shows another.
-func (r *Runner) pace(ctx context.Context, c Call, o lwdispatch.PaceRun) {
+func (r *Runner) pace(ctx context.Context, c Call, o lwdispatch.PaceRun) (done bool) {
 	if !r.valid(c) {
-		return
+		return true // another leader's affair
 	}
 	if err := r.call(ctx, func(call context.Context) error { return r.worker.Pace(call, c, o) }); err != nil {
 		r.decisions.Line("pace_unconfirmed", zap.String("task", string(o.Task)), zap.Int("percent", o.Percent), zap.Error(err))
+		return false
 	}
+	return true
 }
