Worthless jobs last; look again only at workers that have changed

Cause: a late job that can earn a part stood behind one that is worth nothing any more; each report made the leader look at every worker for every step that waits. Change: a third class of lateness; workers carry a stamp of their last change, and a step that found no place looks at all of them only each 100 ms.

Also: the end of a worker's process is noticed by its agent. Cause: tasks of a crashed worker waited four seconds for its lease, though its machine refuses connections, which only a machine without that process does. Change: after three refused connections the agent reports the process as gone and the leader gives the life up at once.

--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -276,7 +276,7 @@
 	}
 	defer d.mu.Unlock()
 	g := d.core.Report(m)
-	if d.sessions[m.Info.Life] != s {
+	if !m.Gone && d.sessions[m.Info.Life] != s {
 		d.sessions[m.Info.Life] = s
 		d.core.Attached(m.Info.Life)
 	}
--- a/internal/control/lwdispatch/advice.go
+++ b/internal/control/lwdispatch/advice.go
@@ -111,6 +111,7 @@
 	}
 	a := &s.advice
 	a.asking = false
+	s.checked = 0 // workers that were denied may be admitted now
 	if len(admitted) == 0 {
 		a.after = c.now + adviceRetry
 	}
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -52,18 +52,20 @@
 
 // step is one step of one occurrence of a job.
 type step struct {
-	job     *job
-	occ     lwjob.Occurrence
-	number  int
-	spec    *lwjob.Step
-	tasks   []*task
-	left    int           // tasks not done
-	waiting int           // steps it depends on that are not done
-	readyAt time.Duration // when its turn came
-	advice  advice
-	feeds   []*step
-	tail    time.Duration // expected time from its start to the job's end
-	most    float64       // largest share of the declared processors that a task of it was seen to use
+	job       *job
+	occ       lwjob.Occurrence
+	number    int
+	spec      *lwjob.Step
+	tasks     []*task
+	left      int           // tasks not done
+	waiting   int           // steps it depends on that are not done
+	readyAt   time.Duration // when its turn came
+	advice    advice
+	feeds     []*step
+	tail      time.Duration // expected time from its start to the job's end
+	checked   uint64        // stamp up to which no worker had a place for it
+	checkedAt time.Duration // when all workers were looked at
+	most      float64       // largest share of the declared processors that a task of it was seen to use
 }
 
 // job is one accepted job that has not ended.
@@ -75,6 +77,7 @@
 	chain    time.Duration // expected time of its longest chain
 	work     float64       // when it was accepted, in millicore seconds
 	steps    [][]*step     // by occurrence
+	live     int           // runs that may exist
 	started  bool
 	stopped  bool // cancelled, failed or done: nothing of it may start
 	overAt   time.Duration
@@ -104,6 +107,8 @@
 	raisedAt    time.Duration      // when a pace was raised last
 	felt        map[string]float64 // share of its processors that each filling image uses, smoothed as tails are
 	feltAt      time.Duration
+	dirty       bool               // it has changed since it was stamped
+	stamp       uint64             // of its last change
 	asked       float64            // see askedNow; negative until it is computed
 	bears       map[string]float64 // share that each image may use where it begins, until something changes
 }
@@ -141,6 +146,7 @@
 	meanWork map[lwconfig.QueueKey]float64 // of a job, in millicore seconds
 	demand   map[string]float64            // filling work that jobs ask for, by image
 	movedAt  time.Duration                 // when a serving task was moved last
+	stamp    uint64                        // counts schedules, to tell which workers have changed
 	ready    []*step                       // steps whose turn has come and that have tasks left
 	timed    []*step                       // first steps that wait for their time
 	out      Effects
@@ -233,7 +239,7 @@
 // forgetOver drops jobs that ended long ago and have no runs left.
 func (c *Core) forgetOver() {
 	for id, j := range c.over {
-		if c.now-j.overAt >= overKept && len(j.runs()) == 0 {
+		if c.now-j.overAt >= overKept && j.live == 0 {
 			delete(c.over, id)
 		}
 	}
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -150,6 +150,17 @@
 			t.Errorf("started %v, want run 2 once", got)
 		}
 	})
+	t.Run("the end of its process ends it at once", func(t *testing.T) {
+		f, _ := start(t)
+		f.core.Report(Report{Info: f.infos["w1"], Gone: true})
+		f.step()
+		expectStarts(t, f.starts("w2"), "j.0.0.0/2")
+		f.core.Report(Report{Info: f.infos["w1"], Gone: true})
+		f.step()
+		if n := len(f.core.workers); n != 1 {
+			t.Errorf("%d workers are known, want the other one", n)
+		}
+	})
 	t.Run("a worker that does not answer its agent is not renewed", func(t *testing.T) {
 		f, _ := start(t)
 		for range 45 {
@@ -419,6 +430,23 @@
 	expectStarts(t, f.starts("w1"), "old.0.1.0/1")
 }
 
+// Overload: a job that is late and still worth something goes before one that
+// is worth nothing any more, though that one would yield more for its work.
+func TestOverloadLeavesWhatIsWorthNothingForLast(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 1))
+	f.submit("runs", tasks(1, 1, time.Second))
+	s := f.run("w1")[0]
+	f.submit("worthless", tasks(1, 1, 500*time.Millisecond))
+	f.pass(4 * time.Second) // over three times its objective of one second
+	f.report("w1")
+	f.submit("late", tasks(1, 1, time.Second))
+	f.pass(2 * time.Second) // its objective is 1.75 s
+	f.cancel("runs")
+	f.end("w1", s, lwjob.EndStopped)
+	expectStarts(t, f.starts("w1"), "late.0.0.0/1")
+}
+
 func TestAdvice(t *testing.T) {
 	advised := func(t *testing.T) *fixture {
 		f := newFixture(t)
--- a/internal/control/lwdispatch/interference_test.go
+++ b/internal/control/lwdispatch/interference_test.go
@@ -191,3 +191,40 @@
 		t.Errorf("filling work took %.2f of the free processors, want 0.25 at least", filled)
 	}
 }
+
+// BenchmarkReport measures what one report costs the leader of 64 workers that
+// are full, while 100 steps wait.
+func BenchmarkReport(b *testing.B) {
+	x := newInterference(&testing.T{})
+	const workers, images = 64, 10
+	for i := range workers {
+		id := lwunit.WorkerID(fmt.Sprintf("w%d", i))
+		x.runs[id] = make(map[lwunit.TaskID]*simulatedRun)
+		x.join(workerInfo(string(id), workerCores))
+	}
+	for i := range images {
+		for j := range images {
+			x.gains[pairKey{fmt.Sprintf("f%d", i), fmt.Sprintf("s%d", j)}] = float64((i * j) % 7 * 5)
+		}
+		s := tasks(workers/2, 3, 0)
+		s.LongRunning, s.TailTarget, s.Image = true, lwunit.Duration(time.Duration(x.target)*time.Millisecond), fmt.Sprintf("s%d", i)
+		x.submit(fmt.Sprintf("serve%d", i), s)
+	}
+	x.play(3*time.Second, func(int) {})
+	n := 0
+	x.play(5*time.Second, func(int) {
+		s := tasks(20, 2, 20*time.Second)
+		s.Filling, s.Image = true, fmt.Sprintf("f%d", n%images)
+		x.submit(fmt.Sprintf("fill%d", n), s)
+		n++
+	})
+	ids := make([]lwunit.WorkerID, 0, workers)
+	for id := range x.runs {
+		ids = append(ids, id)
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		x.now += time.Millisecond
+		x.report(ids[i%workers])
+	}
+}
--- a/internal/control/lwdispatch/life.go
+++ b/internal/control/lwdispatch/life.go
@@ -29,7 +29,7 @@
 			c.endLife(other, "a newer life has the same id")
 		}
 	}
-	w := &worker{info: info, token: max(tokenOf(c.term), c.fences[life]) + 1, runs: make(map[runKey]*run), felt: make(map[string]float64), bears: make(map[string]float64), feltAt: c.now, seenAt: c.now, leaseEnd: c.now + c.leaseBound()}
+	w := &worker{info: info, token: max(tokenOf(c.term), c.fences[life]) + 1, runs: make(map[runKey]*run), felt: make(map[string]float64), bears: make(map[string]float64), asked: -1, dirty: true, feltAt: c.now, seenAt: c.now, leaseEnd: c.now + c.leaseBound()}
 	c.workers[life] = w
 	c.agents[info.Agent] = life
 	c.order = append(c.order, w)
@@ -57,6 +57,18 @@
 	}
 }
 
+// lifeGone ends a life whose process has ended, also one of an earlier
+// leader's roster.
+func (c *Core) lifeGone(life lwjob.WorkerLife) {
+	const reason = "its process has ended"
+	c.endLife(life, reason)
+	if _, ok := c.missing[life]; ok {
+		delete(c.missing, life)
+		c.out.Dismiss = append(c.out.Dismiss, life)
+		c.decide(Decision{Kind: DecidedWorkerGo, Worker: life.Worker, Reason: reason})
+	}
+}
+
 // Enrolled notes that the roster names a worker life: from now on a new leader
 // would wait for it, so it may be given tasks.
 func (c *Core) Enrolled(life lwjob.WorkerLife) {
--- a/internal/control/lwdispatch/pace.go
+++ b/internal/control/lwdispatch/pace.go
@@ -152,11 +152,6 @@
 	return list
 }
 
-func (c *Core) urgency(s *step) candidate {
-	slack := c.slack(s)
-	return candidate{s, slack, c.worthOf(s.job, slack)}
-}
-
 // raise gives paced runs more, as far as every tail is expected to stay well
 // within its target.
 func (c *Core) raise(w *worker) {
@@ -198,7 +193,7 @@
 		if !s.spec.Checkpointed && r.row.Progress > fullPace/2 {
 			continue // more would be lost than is left to do
 		}
-		if other := c.choose(s); other != nil && other != w && c.startPace(s, other) >= movePace {
+		if other := c.chooseChanged(s, 0); other != nil && other != w && c.startPace(s, other) >= movePace {
 			c.stop(r, "it disturbs others here and has room elsewhere")
 		}
 	}
--- a/internal/control/lwdispatch/pair.go
+++ b/internal/control/lwdispatch/pair.go
@@ -235,6 +235,7 @@
 func (w *worker) changed() {
 	clear(w.bears)
 	w.asked = -1
+	w.dirty = true
 }
 
 // savedChange is the share by which a gain must have changed to be recorded
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -12,6 +12,7 @@
 // Schedule starts what may start now, the most urgent first.
 func (c *Core) Schedule() {
 	c.wake()
+	c.stampChanged()
 	list := make([]candidate, 0, len(c.ready))
 	for _, s := range c.ready {
 		if c.mayStart(s) {
@@ -28,14 +29,28 @@
 type candidate struct {
 	step  *step
 	slack time.Duration // until its job would miss its objective
-	worth float64       // of starting it, against others of its priority
+	delay lateness
+	worth float64 // of starting it, against others of its priority
 }
 
-// compareUrgency orders steps: those that can still be on time before those
-// that cannot, then by the queue's priority, then by what they are worth.
+// lateness says what a job can still be.
+type lateness uint8
+
+const (
+	onTime    lateness = iota
+	late               // after its objective, and still worth something
+	worthless          // it would take lateFactor times its objective or more
+)
+
+// lateFactor is how many times its objective a job may take to be worth
+// something.
+const lateFactor = 3
+
+// compareUrgency orders steps: by how late their jobs must be, then by the
+// queue's priority, then by what they are worth.
 func compareUrgency(a, b candidate) int {
-	if late := boolOrder(a.slack < 0, b.slack < 0); late != 0 {
-		return late
+	if d := int(a.delay) - int(b.delay); d != 0 {
+		return d
 	}
 	if d := int(a.step.job.queue.Priority) - int(b.step.job.queue.Priority); d != 0 {
 		return d
@@ -93,17 +108,6 @@
 	c.meanWork[j.queue.Key] = mean + workMemory*(j.work-mean)
 }
 
-func boolOrder(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // mayStart reports whether a step has a task without a run. A job of an
 // earlier term may still run on workers that have not reported.
 func (c *Core) mayStart(s *step) bool {
@@ -143,12 +147,44 @@
 	}
 }
 
+// recheckAfter is how long a step that found no worker looks only at those that
+// have changed since; the rest may have changed by the time alone.
+const recheckAfter = 100 * time.Millisecond
+
+// stampChanged numbers the workers that have changed since it was called last.
+func (c *Core) stampChanged() {
+	c.stamp++
+	for _, w := range c.order {
+		if w.dirty {
+			w.dirty, w.stamp = false, c.stamp
+		}
+	}
+}
+
 // choose returns the worker that suits a step best now, or nil.
 func (c *Core) choose(s *step) *worker {
+	since := s.checked
+	whole := since == 0 || c.now-s.checkedAt >= recheckAfter
+	if whole {
+		since = 0
+	}
+	w := c.chooseChanged(s, since)
+	if w == nil {
+		s.checked = c.stamp
+		if whole {
+			s.checkedAt = c.now
+		}
+	}
+	return w
+}
+
+// chooseChanged returns the best worker among those that have changed since a
+// stamp.
+func (c *Core) chooseChanged(s *step, since uint64) *worker {
 	var best *worker
 	bestCost := math.Inf(1)
 	for _, w := range c.order {
-		if !c.eligible(s, w) || !c.fits(s, w) {
+		if w.stamp <= since && since > 0 || !c.eligible(s, w) || !c.fits(s, w) {
 			continue
 		}
 		if cost := c.cost(s, w); cost < bestCost {
@@ -169,7 +205,7 @@
 // starved reports whether a job stands still though much of its service's
 // declared room is free.
 func (c *Core) starved(s *step) bool {
-	if s.job.running() > 0 || c.now-s.readyAt < starvedAfter {
+	if s.job.live > 0 || c.now-s.readyAt < starvedAfter {
 		return false
 	}
 	used, capacity := c.reserved(s.job.queue.Service)
@@ -196,9 +232,6 @@
 	return best
 }
 
-// running returns how many runs of a job may exist.
-func (j *job) running() int { return len(j.runs()) }
-
 // eligible reports whether a step's tasks may be started on a worker now.
 func (c *Core) eligible(s *step, w *worker) bool {
 	return c.suits(s, w) && c.admitted(s, w)
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -9,6 +9,10 @@
 
 // Report takes in what an agent tells of its worker and renews its lease.
 func (c *Core) Report(m Report) Grant {
+	if m.Gone {
+		c.lifeGone(m.Info.Life)
+		return Grant{}
+	}
 	w := c.workerOf(m.Info)
 	if w == nil {
 		return Grant{}
@@ -135,6 +139,7 @@
 	w.changed()
 	w.runs[runKey{r.task.name, r.id}] = r
 	r.task.runs = append(r.task.runs, r)
+	r.task.step.job.live++
 	need := r.task.step.spec.Need
 	if r.task.step.spec.Filling {
 		w.filling += need.Millicores
@@ -152,6 +157,7 @@
 	}
 	w.changed()
 	delete(w.runs, key)
+	r.task.step.job.live--
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	need := r.task.step.spec.Need
 	if r.task.step.spec.Filling {
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -93,6 +93,7 @@
 	Info    WorkerInfo      `json:"info"`
 	Token   Token           `json:"token"`            // under which the lists were read
 	Silent  bool            `json:"silent,omitempty"` // the worker does not answer; its lease is not renewed
+	Gone    bool            `json:"gone,omitempty"`   // its process has ended, with all that it ran
 	Full    bool            `json:"full,omitempty"`   // Running is the whole list
 	Clock   lwunit.Millis   `json:"clock,omitempty"`  // of the worker when it made the lists; reports may overtake each other
 	Running []RunRow        `json:"running,omitempty"`
--- a/internal/worker/lwrunner/fake_test.go
+++ b/internal/worker/lwrunner/fake_test.go
@@ -31,6 +31,7 @@
 	late       []func()        // what will be carried out then
 	refuse     map[string]bool // tasks that are refused for want of room
 	silent     bool
+	gone       bool // its process has ended
 }
 
 func newFakeWorker() *fakeWorker {
@@ -114,6 +115,10 @@
 
 func (w *fakeWorker) Hold(ctx context.Context, c Call, until Lease, cursor int64, wait time.Duration) (Lists, error) {
 	w.mu.Lock()
+	if w.gone {
+		w.mu.Unlock()
+		return Lists{}, &GoneError{errNoAnswer}
+	}
 	silent := w.silent
 	known := w.next
 	w.mu.Unlock()
--- a/internal/worker/lwrunner/hold.go
+++ b/internal/worker/lwrunner/hold.go
@@ -93,7 +93,17 @@
 	}
 	r.failed++
 	first := r.failed == silentAfter
+	if _, gone := errors.AsType[*GoneError](err); gone && r.info.Life == c.Life {
+		r.absent++
+	} else {
+		r.absent = 0
+	}
+	gone := r.absent == goneAfter
 	r.mu.Unlock()
+	if gone {
+		r.log.Warn("worker is gone", zap.String("worker", string(c.Life.Worker)), zap.Error(err))
+		r.report(true)
+	}
 	if first {
 		r.log.Warn("worker does not answer", zap.String("worker", string(c.Life.Worker)), zap.Error(err))
 		r.report(true)
@@ -108,7 +118,7 @@
 		return false // of another life, or overtaken by newer lists
 	}
 	back := r.failed >= silentAfter
-	r.failed = 0
+	r.failed, r.absent = 0, 0
 	for _, e := range lists.Ends {
 		key := runKey{e.End.Task, e.End.Run}
 		if !r.ended[key] {
--- a/internal/worker/lwrunner/port.go
+++ b/internal/worker/lwrunner/port.go
@@ -50,6 +50,16 @@
 // Error returns the reason.
 func (e *RefusedError) Error() string { return "the worker refused: " + string(e.Reason) }
 
+// GoneError says that nothing listens where the worker was: its process has
+// ended, and everything that it ran.
+type GoneError struct{ Cause error }
+
+// Error returns the cause.
+func (e *GoneError) Error() string { return "the worker is gone: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *GoneError) Unwrap() error { return e.Cause }
+
 // Leader is the port to the control leader.
 type Leader interface {
 	Report(ctx context.Context, m lwdispatch.Report) (lwlink.ReportReply, error)
--- a/internal/worker/lwrunner/report.go
+++ b/internal/worker/lwrunner/report.go
@@ -90,7 +90,7 @@
 
 // compose builds a report; newest is the highest end in it.
 func (r *Runner) compose() (m lwdispatch.Report, newest int64) {
-	m = lwdispatch.Report{Info: r.info, Token: r.listed, Refused: r.refused, Silent: r.failed >= silentAfter}
+	m = lwdispatch.Report{Info: r.info, Token: r.listed, Refused: r.refused, Silent: r.failed >= silentAfter, Gone: r.absent >= goneAfter}
 	newest = r.reported
 	if r.listed != 0 {
 		m.Full = r.full
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -26,6 +26,7 @@
 	orderPause     = 100 * time.Millisecond // before an order without an answer is repeated
 	leastLease     = 150 * time.Millisecond // left of the lease for a start to be worth sending
 	silentAfter    = 3                      // holds without an answer until the worker counts as silent
+	goneAfter      = 3                      // refused connections in a row until its process counts as ended; one may fall into a restart of its listener
 	workerRate     = 0.98                   // least rate of the worker's clock against this one
 	linesPerSecond = 200                    // of one kind in the decision log
 	parallelOrders = 6                      // calls to the worker at one time, beside the hold
@@ -71,6 +72,7 @@
 	listedAt time.Duration
 	clockAt  time.Duration // when lists.Clock was received
 	failed   int           // holds in a row without an answer
+	absent   int           // connections in a row that the worker\'s machine refused
 	reported int64         // highest end that the leader has been told of
 	ended    map[runKey]bool
 	refused  []lwdispatch.Refusal
@@ -93,7 +95,7 @@
 
 // reset forgets everything about the worker life before.
 func (r *Runner) reset() {
-	r.token, r.deadline, r.cursor, r.failed, r.reported = 0, 0, 0, 0, 0
+	r.token, r.deadline, r.cursor, r.failed, r.absent, r.reported = 0, 0, 0, 0, 0, 0
 	r.lists, r.listed, r.listedAt, r.clockAt = Lists{}, 0, 0, 0
 	r.ended = make(map[runKey]bool)
 	r.refused = nil
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -215,6 +215,37 @@
 	})
 }
 
+// A machine that refuses connections runs no worker; a worker that answers
+// again was only starting to listen.
+func TestEndOfTheWorkersProcessIsReported(t *testing.T) {
+	served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		set := func(gone bool) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.gone = gone
+		}
+		last := func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.reports[len(l.reports)-1].Gone
+		}
+		set(true)
+		time.Sleep(150 * time.Millisecond)
+		if last() {
+			t.Error("reported after one refused connection")
+		}
+		time.Sleep(450 * time.Millisecond)
+		if !last() {
+			t.Error("not reported after half a second")
+		}
+		set(false)
+		time.Sleep(time.Second)
+		if last() {
+			t.Error("still reported of a worker that answers")
+		}
+	})
+}
+
 func TestAnnouncements(t *testing.T) {
 	t.Run("a newer life replaces an older one", func(t *testing.T) {
 		served(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
