--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -218,7 +218,7 @@
 // A machine that refuses connections runs no worker; a worker that answers
 // again was only starting to listen.
 func TestEndOfTheWorkersProcessIsReported(t *testing.T) {
-	served(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+	served(t, func(t *testing.T, _ *Runner, w *fakeWorker, l *fakeLeader) {
 		set := func(gone bool) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
