Keep what was committed while a leader's lease lapsed

While the lease of a leader had lapsed its dispatcher dropped what was committed, though the same term may go on: such jobs were neither counted nor ever started by that leader. Found by reading. Change: dropped only once the replica leads no more or its term has changed. Test: TestDispatcherMissesNothingWhileItsLeaseLapses failed first.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -120,9 +120,16 @@
 	d.node.log.Info("dispatch began", zap.Uint64("term", uint64(term)), zap.Uint64("revision", uint64(d.since)))
 }
 
-// discard drops what was committed while this replica does not lead: a core
-// is made from the record as it is then.
-func (d *dispatcher) discard() {
+// discard drops what was committed while this replica does not lead: the core
+// of its next term is made from the record as it is then. A leader whose lease
+// has lapsed may renew it in the same term, and its core must miss nothing.
+func (d *dispatcher) discard(r *replica) {
+	d.mu.Lock()
+	term := d.term
+	d.mu.Unlock()
+	if v := r.current(); v.role == lwreplica.Leader && v.term == term {
+		return
+	}
 	d.queue.mu.Lock()
 	defer d.queue.mu.Unlock()
 	d.queue.list = nil
@@ -189,7 +196,7 @@
 		case <-d.kick:
 		}
 		if err := d.enter(r); err != nil {
-			d.discard()
+			d.discard(r)
 			continue
 		}
 		began := time.Now()
