Propose roster changes one at a time

By reading: each change of the roster was proposed by a goroutine of its own, so a dismissal could be recorded after the enrolment that followed it; and if a life was given up and came back before the effects were carried out, one command held both and the dismissal was applied last. Change: one proposal at a time, in order, tried again if it is not accepted; of one life the last change counts. Tests: one in TestLostWorker failed first; TestLastRosterChangeCounts.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +61,8 @@
 	sessions  map[lwjob.WorkerLife]*lwrpc.Session
 	ends      []lwdispatch.WorkerEnd // to be proposed
 	recording bool                   // a proposal of ends is under way
+	roster    lwstate.ChangeRoster   // to be proposed
+	changing  bool                   // a proposal about the roster is under way
 	forgot    time.Duration
 	learned   time.Duration
 }
@@ -111,6 +114,7 @@
 	d.term = term
 	d.sessions = make(map[lwjob.WorkerLife]*lwrpc.Session)
 	d.ends, d.recording = nil, false
+	d.roster, d.changing = lwstate.ChangeRoster{}, false
 	r.read(func(s *lwstate.State) {
 		d.since = s.Revision()
 		in := lwdispatch.Inherited{Config: s.Queues().Config(), Roster: s.Queues().Roster(), Pairs: s.Queues().Disturbances()}
@@ -218,9 +222,8 @@
 	for _, x := range out.Decisions {
 		logDecision(d.node.decisions, x)
 	}
-	if len(out.Enrol) > 0 || len(out.Dismiss) > 0 {
-		go d.propose(ctx, r, lwstate.ChangeRoster{Enrol: out.Enrol, Dismiss: out.Dismiss})
-	}
+	d.roster = mergeRoster(d.roster, out.Enrol, out.Dismiss)
+	d.changeRoster(ctx, r)
 	for _, life := range out.Dismiss {
 		delete(d.sessions, life)
 	}
@@ -232,6 +235,45 @@
 	}
 }
 
+// mergeRoster adds changes to those that wait; of one life the last one counts.
+func mergeRoster(c lwstate.ChangeRoster, enrol []lwjob.RosterEntry, dismiss []lwjob.WorkerLife) lwstate.ChangeRoster {
+	for _, life := range dismiss {
+		c.Enrol = slices.DeleteFunc(c.Enrol, func(e lwjob.RosterEntry) bool { return e.Life == life })
+	}
+	c.Dismiss = append(c.Dismiss, dismiss...)
+	for _, e := range enrol {
+		c.Dismiss = slices.DeleteFunc(c.Dismiss, func(life lwjob.WorkerLife) bool { return life == e.Life })
+	}
+	c.Enrol = append(c.Enrol, enrol...)
+	return c
+}
+
+// changeRoster proposes the changes that wait, one proposal at a time: one that
+// overtook another could leave a life that runs tasks off the roster. The
+// dispatcher is locked.
+func (d *dispatcher) changeRoster(ctx context.Context, r *replica) {
+	if d.changing || (len(d.roster.Enrol) == 0 && len(d.roster.Dismiss) == 0) {
+		return
+	}
+	c, term := d.roster, d.term
+	d.roster, d.changing = lwstate.ChangeRoster{}, true
+	go func() {
+		_, _, err := r.propose(ctx, c)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.term != term {
+			return // the next leader reads the roster as it is
+		}
+		d.changing = false
+		if err != nil {
+			d.node.log.Warn("roster not changed yet", zap.Int("enrol", len(c.Enrol)), zap.Int("dismiss", len(c.Dismiss)), zap.Error(err))
+			d.roster = mergeRoster(c, d.roster.Enrol, d.roster.Dismiss)
+			return // the next round proposes it again
+		}
+		d.changeRoster(ctx, r)
+	}()
+}
+
 func (d *dispatcher) propose(ctx context.Context, r *replica, c lwstate.Command) {
 	if _, _, err := r.propose(ctx, c); err != nil {
 		d.node.log.Warn("dispatcher's command not accepted", zap.Error(err))
--- a/internal/control/lwcontrol/dispatch_test.go
+++ b/internal/control/lwcontrol/dispatch_test.go
@@ -53,3 +53,17 @@
 	defer d.mu.Unlock()
 	is.Equal(d.core.Pending(queue.Key), 1)
 }
+
+// Of the changes to one worker life the last counts, whatever became of the
+// proposals before: a life that runs tasks must stay on the roster.
+func TestLastRosterChangeCounts(t *testing.T) {
+	is := is.New(t)
+	a := lwjob.RosterEntry{Life: lwjob.WorkerLife{Worker: "a", Born: 1}}
+	c := mergeRoster(lwstate.ChangeRoster{}, []lwjob.RosterEntry{a}, nil)
+	c = mergeRoster(c, nil, []lwjob.WorkerLife{a.Life})
+	is.Equal(len(c.Enrol), 0)
+	is.Equal(len(c.Dismiss), 1)
+	c = mergeRoster(c, []lwjob.RosterEntry{a}, nil)
+	is.Equal(len(c.Enrol), 1)
+	is.Equal(len(c.Dismiss), 0)
+}
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -161,6 +161,16 @@
 			t.Errorf("%d workers are known, want the other one", n)
 		}
 	})
+	t.Run("one that is given up and comes back at once stays on the roster", func(t *testing.T) {
+		f, _ := start(t)
+		info := f.infos["w1"]
+		f.core.Report(Report{Info: info, Gone: true})
+		f.core.Report(Report{Info: info})
+		out := f.core.Take()
+		if len(out.Dismiss) != 0 || len(out.Enrol) != 1 {
+			t.Errorf("dismissed %v, enrolled %v", out.Dismiss, out.Enrol)
+		}
+	})
 	t.Run("a worker that does not answer its agent is not renewed", func(t *testing.T) {
 		f, _ := start(t)
 		for range 45 {
--- a/internal/control/lwdispatch/life.go
+++ b/internal/control/lwdispatch/life.go
@@ -40,6 +40,7 @@
 		return 1
 	})
 	c.dismissEarlier(info)
+	c.out.Dismiss = slices.DeleteFunc(c.out.Dismiss, func(l lwjob.WorkerLife) bool { return l == life }) // it was given up and came back
 	c.out.Enrol = append(c.out.Enrol, lwjob.RosterEntry{Life: life, Agent: info.Agent})
 	c.decide(Decision{Kind: DecidedWorker, Worker: life.Worker, Reason: "first report"})
 	return w
@@ -142,6 +143,7 @@
 		delete(c.agents, w.info.Agent)
 	}
 	c.order = slices.DeleteFunc(c.order, func(o *worker) bool { return o == w })
+	c.out.Enrol = slices.DeleteFunc(c.out.Enrol, func(e lwjob.RosterEntry) bool { return e.Life == life })
 	c.out.Dismiss = append(c.out.Dismiss, life)
 	for _, r := range w.sortedRuns() {
 		c.release(r)
