Read no request body after its handler has returned

It would end an agent. Change: a guard serializes reads and ends them before the handler returns. Test: TestGuardedBodyIsNotReadAfterItsHandler; the race itself was not brought about again.

--- a/internal/worker/lwagent/serve.go
+++ b/internal/worker/lwagent/serve.go
@@ -220,7 +220,9 @@
 func (a *Agent) pass(ctx context.Context, w http.ResponseWriter, r *http.Request, s *backend) *lwstate.Answer {
 	ctx, span := lwtrace.Start(ctx, "backend_server")
 	defer span.End()
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+s.address+r.URL.RequestURI()[len(PathGate):], r.Body)
+	body := lwhttp.GuardBody(r.Body)
+	defer func() { _ = body.Close() }()
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+s.address+r.URL.RequestURI()[len(PathGate):], body)
 	if err != nil {
 		lwhttp.WriteProblem(w, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "request", Cause: err})
 		return nil
