Drop committed changes only while no term can begin

A replica that does not lead drops the changes that its dispatcher has not taken in. It looked at its role, and then took the list's lock alone: a term that began in between lost what was committed after it had begun, and a job lost so is shown to nobody as waiting and never starts. Change: the dispatcher stays locked from the look to the drop. The line about a new term says how many worker lives and jobs it has taken over. Test: TestTermThatBeginsWhileChangesAreDropped failed first.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -115,23 +115,25 @@
 	d.sessions = make(map[lwjob.WorkerLife]*lwrpc.Session)
 	d.ends, d.recording = nil, false
 	d.roster, d.changing = lwstate.ChangeRoster{}, false
+	roster, jobs := 0, 0
 	r.read(func(s *lwstate.State) {
 		d.since = s.Revision()
 		in := lwdispatch.Inherited{Config: s.Queues().Config(), Roster: s.Queues().Roster(), Pairs: s.Queues().Disturbances()}
 		s.Queues().Each(func(j *lwjob.Job) { in.Jobs = append(in.Jobs, j) })
 		d.core = lwdispatch.New(d.node.cfg.Dispatch, uint64(term), r.now(), wallClock(), in)
+		roster, jobs = len(in.Roster), len(in.Jobs)
 	})
-	d.node.log.Info("dispatch began", zap.Uint64("term", uint64(term)), zap.Uint64("revision", uint64(d.since)))
+	d.node.log.Info("dispatch began", zap.Uint64("term", uint64(term)), zap.Uint64("revision", uint64(d.since)), zap.Int("roster", roster), zap.Int("jobs", jobs))
 }
 
 // discard drops what was committed while this replica does not lead: the core
 // of its next term is made from the record as it is then. A leader whose lease
-// has lapsed may renew it in the same term, and its core must miss nothing.
+// has lapsed may renew it in the same term, and its core must miss nothing; the
+// dispatcher stays locked, so that no term begins between the look and the drop.
 func (d *dispatcher) discard(r *replica) {
 	d.mu.Lock()
-	term := d.term
-	d.mu.Unlock()
-	if v := r.current(); v.role == lwreplica.Leader && v.term == term {
+	defer d.mu.Unlock()
+	if v := r.current(); v.role == lwreplica.Leader && v.term == d.term {
 		return
 	}
 	d.queue.mu.Lock()
--- a/internal/control/lwcontrol/dispatch_test.go
+++ b/internal/control/lwcontrol/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -54,6 +55,39 @@
 	is.Equal(d.core.Pending(queue.Key), 1)
 }
 
+// A term that begins while a replica drops what it need not remember misses
+// nothing that is committed afterwards.
+func TestTermThatBeginsWhileChangesAreDropped(t *testing.T) {
+	is := is.New(t)
+	r := &replica{state: lwstate.New(), view: view{role: lwreplica.Leader, term: 2}}
+	d := newDispatcher(&Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}})
+	d.queue.mu.Lock()
+	dropped, began := make(chan struct{}), make(chan struct{})
+	go func() {
+		d.discard(r)
+		close(dropped)
+	}()
+	time.Sleep(20 * time.Millisecond) // until it waits for the list
+	go func() {
+		d.mu.Lock()
+		d.begin(r, 2)
+		d.mu.Unlock()
+		close(began)
+	}()
+	accepted := change{1, lwstate.AcceptJob{}}
+	select {
+	case <-began:
+		d.queue.list = append(d.queue.list, accepted)
+		d.queue.mu.Unlock()
+	case <-time.After(20 * time.Millisecond):
+		d.queue.mu.Unlock()
+		<-began
+		d.applied(accepted.revision, accepted.command)
+	}
+	<-dropped
+	is.Equal(len(d.queue.list), 1)
+}
+
 // Of the changes to one worker life the last counts, whatever became of the
 // proposals before: a life that runs tasks must stay on the roster.
 func TestLastRosterChangeCounts(t *testing.T) {
