Record where long-running tasks are placed, so that a new leader need not wait for all

Cause: after a change of leader every task of an older job waits until each worker life on the roster has reported or its lease has ended, four seconds if some agents are cut off. Change: the place of a long-running task is recorded before its start is ordered; a new leader starts those whose last place has reported, is given up or never was. Ends and places share one proposal. Tests: TestServingGoesOnUnderANewLeader, TestRecord.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -60,7 +60,8 @@
 	since     lwunit.Revision  // what the core was made from
 	sessions  map[lwjob.WorkerLife]*lwrpc.Session
 	ends      []lwdispatch.WorkerEnd // to be proposed
-	recording bool                   // a proposal of ends is under way
+	places    []lwjob.Placement      // the same
+	recording bool                   // a proposal of ends and places is under way
 	roster    lwstate.ChangeRoster   // to be proposed
 	changing  bool                   // a proposal about the roster is under way
 	forgot    time.Duration
@@ -74,7 +75,7 @@
 // applied is told of each committed command, in order.
 func (d *dispatcher) applied(rev lwunit.Revision, c lwstate.Command) {
 	switch c.(type) {
-	case lwstate.Configure, lwstate.AcceptJob, lwstate.CancelSteps, lwstate.RecordEnds, lwstate.ChangeRoster:
+	case lwstate.Configure, lwstate.AcceptJob, lwstate.CancelSteps, lwstate.RecordRuns, lwstate.ChangeRoster:
 	default:
 		return
 	}
@@ -113,7 +114,7 @@
 func (d *dispatcher) begin(r *replica, term lwreplica.Term) {
 	d.term = term
 	d.sessions = make(map[lwjob.WorkerLife]*lwrpc.Session)
-	d.ends, d.recording = nil, false
+	d.ends, d.places, d.recording = nil, nil, false
 	d.roster, d.changing = lwstate.ChangeRoster{}, false
 	roster, jobs := 0, 0
 	r.read(func(s *lwstate.State) {
@@ -169,12 +170,15 @@
 		}
 	case lwstate.CancelSteps:
 		d.noteEnded(t, c.Job)
-	case lwstate.RecordEnds:
+	case lwstate.RecordRuns:
 		for _, e := range c.Ends {
 			if id, _, err := lwjob.ParseTaskName(e.Task); err == nil {
 				d.noteEnded(t, id)
 			}
 		}
+		for _, p := range c.Places {
+			d.core.PlaceRecorded(p)
+		}
 	case lwstate.ChangeRoster:
 		for _, w := range c.Enrol {
 			d.core.Enrolled(w.Life)
@@ -231,6 +235,7 @@
 	}
 	d.ask(out.Questions)
 	d.ends = append(d.ends, out.Ends...)
+	d.places = append(d.places, out.Places...)
 	d.record(ctx, r)
 	for _, o := range out.Orders {
 		d.send(ctx, r, o)
@@ -304,15 +309,15 @@
 	ordersSent.Add(int64(len(o.Orders)))
 }
 
-// record proposes the ends that wait, one proposal at a time; those that come
-// meanwhile share the next.
+// record proposes the ends and places that wait, one proposal at a time; those
+// that come meanwhile share the next.
 func (d *dispatcher) record(ctx context.Context, r *replica) {
-	if d.recording || len(d.ends) == 0 {
+	if d.recording || len(d.ends)+len(d.places) == 0 {
 		return
 	}
-	batch, term := d.ends, d.term
-	d.ends, d.recording = nil, true
-	cmd := lwstate.RecordEnds{}
+	batch, places, term := d.ends, d.places, d.term
+	d.ends, d.places, d.recording = nil, nil, true
+	cmd := lwstate.RecordRuns{Places: places}
 	for _, e := range batch {
 		cmd.Ends = append(cmd.Ends, e.Row.End)
 	}
@@ -325,8 +330,9 @@
 		}
 		d.recording = false
 		if err != nil {
-			d.node.log.Warn("ends not recorded yet", zap.Int("ends", len(batch)), zap.Error(err))
+			d.node.log.Warn("runs not recorded yet", zap.Int("ends", len(batch)), zap.Int("places", len(places)), zap.Error(err))
 			d.ends = append(batch, d.ends...)
+			d.places = append(places, d.places...)
 			d.wake()
 			return
 		}
--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -113,7 +113,7 @@
 			return
 		}
 		p.Spec.Queue = q.Key
-		job = lwjob.Job{Spec: p.Spec, Queue: q, Term: uint64(n.dispatcher.term)}
+		job = lwjob.Job{Spec: p.Spec, Queue: q, Term: uint64(n.dispatcher.term), PlacesRecorded: true}
 		old := s.Queues().Job(p.Spec.ID)
 		known = old != nil && old.Spec.Queue == q.Key
 	})
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -29,6 +29,7 @@
 	pace     int           // percent that was ordered last
 	pacedAt  time.Duration // when its pace was ordered last
 	slowedAt time.Duration // when it was last below its full pace
+	withheld bool          // its start is ordered once its place is recorded
 	row      RunRow        // as listed last
 
 	// Of a run that serves, as learned from its tail.
@@ -47,7 +48,8 @@
 	saved  string
 	last   lwjob.RunID // highest run ordered or seen
 	runs   []*run
-	after  time.Duration // not to be started before
+	after  time.Duration    // not to be started before
+	place  lwjob.WorkerLife // as an earlier leader recorded it
 }
 
 // step is one step of one occurrence of a job.
@@ -80,6 +82,7 @@
 	live     int           // runs that may exist
 	started  bool
 	stopped  bool // cancelled, failed or done: nothing of it may start
+	placed   bool // the places of its long-running tasks are recorded
 	overAt   time.Duration
 }
 
@@ -288,7 +291,7 @@
 
 func (c *Core) buildJob(rec *lwjob.Job) *job {
 	spec := rec.Spec
-	j := &job{spec: &spec, queue: rec.Queue, term: rec.Term, accepted: c.acceptedAt(rec), started: rec.Started}
+	j := &job{spec: &spec, queue: rec.Queue, term: rec.Term, accepted: c.acceptedAt(rec), started: rec.Started, placed: rec.PlacesRecorded}
 	for k := range spec.Occurrences() {
 		j.steps = append(j.steps, c.buildSteps(j, rec, lwjob.Occurrence(k)))
 	}
@@ -330,7 +333,7 @@
 		for i := range s.spec.Count {
 			key := lwjob.TaskKey{Occurrence: k, Step: n, Index: i}
 			r := rec.Task(key)
-			t := &task{step: s, index: i, name: lwjob.TaskName(j.spec.ID, key), done: r.Done, failed: slices.Clone(r.Failed), saved: r.Saved, last: max(r.Latest, c.firstRun(j))}
+			t := &task{step: s, index: i, name: lwjob.TaskName(j.spec.ID, key), done: r.Done, failed: slices.Clone(r.Failed), saved: r.Saved, last: max(r.Latest, c.firstRun(j)), place: r.Place}
 			s.tasks = append(s.tasks, t)
 			if !t.done {
 				s.left++
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -526,3 +526,80 @@
 		ask(t, f)
 	})
 }
+
+// A leader changes while some agents are cut off: serving tasks that cannot run
+// there go on elsewhere at once.
+func TestServingGoesOnUnderANewLeader(t *testing.T) {
+	before := func(t *testing.T) *fixture {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 1))
+		f.join(workerInfo("w2", 1))
+		serving := tasks(3, 1, 0)
+		serving.LongRunning = true
+		f.submit("serve", serving)
+		if len(f.run("w1")) != 1 || len(f.run("w2")) != 1 {
+			t.Fatal("want one task on each worker and one that waits")
+		}
+		f.begin(testTerm + 1)
+		return f
+	}
+	names := func(list []StartRun) map[lwunit.TaskID]bool {
+		found := make(map[lwunit.TaskID]bool)
+		for _, s := range list {
+			found[s.Task] = true
+		}
+		return found
+	}
+	t.Run("what never started or whose worker has reported starts at once", func(t *testing.T) {
+		f := before(t)
+		lost := f.lists["w1"][0].Task
+		f.lists["w1"] = nil // its lease lapsed
+		f.join(f.infos["w1"])
+		f.join(workerInfo("w3", 2))
+		started := names(append(f.starts("w1"), f.starts("w3")...))
+		if len(started) != 2 || !started[lost] || !started["serve.0.0.2"] {
+			t.Errorf("started %v, want %s and serve.0.0.2", started, lost)
+		}
+	})
+	t.Run("what may run on a worker that has not reported waits for its lease", func(t *testing.T) {
+		f := before(t)
+		f.join(workerInfo("w3", 4))
+		expectStarts(t, f.run("w3"), "serve.0.0.2/65537")
+		for range 38 {
+			f.pass(100 * time.Millisecond)
+			expectStarts(t, f.run("w3"))
+		}
+		n := 0
+		for range 10 {
+			f.pass(100 * time.Millisecond)
+			n += len(f.run("w3"))
+		}
+		if n != 2 {
+			t.Errorf("%d more tasks started once the leases have ended, want 2", n)
+		}
+	})
+	t.Run("a start is ordered once its place is recorded", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 1))
+		serving := tasks(1, 1, 0)
+		serving.LongRunning = true
+		j := lwjob.Job{Spec: lwjob.Spec{ID: "serve", Queue: f.queue.Key, Steps: []lwjob.Step{serving}}, Queue: f.queue, Term: testTerm, PlacesRecorded: true}
+		f.table.Accept(j)
+		f.core.JobAccepted(f.table.Job("serve"))
+		f.core.Schedule()
+		out := f.core.Take()
+		if len(out.Places) != 1 || len(out.Orders) != 0 {
+			t.Fatalf("places %v, orders %v, want one place and no order", out.Places, out.Orders)
+		}
+		f.now += 2 * f.core.cfg.Resend
+		f.core.Advance(f.now, f.wall)
+		f.core.Tick()
+		if out := f.core.Take(); len(out.Orders) != 0 {
+			t.Errorf("orders %v before the place is recorded", out.Orders)
+		}
+		f.core.PlaceRecorded(out.Places[0])
+		if out := f.core.Take(); len(out.Orders) != 1 {
+			t.Errorf("orders %v, want the start", out.Orders)
+		}
+	})
+}
--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -64,6 +64,10 @@
 	for _, life := range f.out.Dismiss {
 		f.table.Dismiss(life)
 	}
+	for _, p := range f.out.Places {
+		f.table.Place(p)
+		f.core.PlaceRecorded(p)
+	}
 	for _, o := range f.out.Orders {
 		f.orders[o.Life.Worker] = append(f.orders[o.Life.Worker], o.Orders...)
 	}
@@ -75,7 +79,7 @@
 			f.core.JobEnded(id, string(j.State))
 		}
 	}
-	if len(f.out.Enrol) > 0 || len(f.out.Ends) > 0 {
+	if len(f.out.Enrol)+len(f.out.Ends)+len(f.out.Places) > 0 {
 		f.step()
 	}
 }
@@ -122,7 +126,7 @@
 
 // submit hands in a job of the given steps.
 func (f *fixture) submit(id string, steps ...lwjob.Step) {
-	j := lwjob.Job{Spec: lwjob.Spec{ID: lwunit.JobID(id), Queue: f.queue.Key, Steps: steps}, Queue: f.queue, Term: f.core.term, Accepted: f.wall}
+	j := lwjob.Job{Spec: lwjob.Spec{ID: lwunit.JobID(id), Queue: f.queue.Key, Steps: steps}, Queue: f.queue, Term: f.core.term, Accepted: f.wall, PlacesRecorded: true}
 	f.table.Accept(j)
 	f.core.Advance(f.now, f.wall)
 	f.core.JobAccepted(f.table.Job(j.Spec.ID))
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -25,10 +25,9 @@
 	}
 }
 
-// mayStart reports whether a step has a task without a run. A job of an
-// earlier term may still run on workers that have not reported.
+// mayStart reports whether a step has a task that waits for a run.
 func (c *Core) mayStart(s *step) bool {
-	if s.job.stopped || (s.job.term < c.term && len(c.missing) > 0) {
+	if s.job.stopped {
 		return false
 	}
 	for _, t := range s.tasks {
@@ -40,7 +39,22 @@
 }
 
 func (c *Core) wants(t *task) bool {
-	return !t.done && len(t.runs) == 0 && c.now >= t.after
+	return !t.done && len(t.runs) == 0 && c.now >= t.after && !c.mayRunUnseen(t)
+}
+
+// mayRunUnseen reports whether a task of a job of an earlier term may still run
+// on a worker that has not reported. Of a task whose places are recorded, only
+// the last one counts.
+func (c *Core) mayRunUnseen(t *task) bool {
+	j := t.step.job
+	if j.term >= c.term || len(c.missing) == 0 {
+		return false
+	}
+	if !j.placed || !t.step.spec.LongRunning {
+		return true
+	}
+	_, unseen := c.missing[t.place]
+	return unseen
 }
 
 func (c *Core) placeStep(s *step, slack time.Duration) {
@@ -248,7 +262,7 @@
 // being near each other are kept on one rack if it has room.
 func (c *Core) placeGang(s *step, slack time.Duration) {
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || c.now < t.after {
+		if !c.wants(t) {
 			return // some of the run before may still be there
 		}
 	}
@@ -341,13 +355,36 @@
 	t.last = id
 	c.hold(r)
 	c.noteStart(w)
-	c.sendOrder(w, c.startOrder(r))
+	if t.step.spec.LongRunning && t.step.job.placed {
+		r.withheld = true
+		c.out.Places = append(c.out.Places, lwjob.Placement{Task: t.name, Life: w.info.Life})
+	} else {
+		c.sendOrder(w, c.startOrder(r))
+	}
 	c.decide(Decision{
 		Kind: DecidedStart, Job: t.step.job.spec.ID, Task: t.name, Run: id, Worker: w.info.Life.Worker,
 		Slack: slack, Age: c.now - w.seenAt,
 	})
 }
 
+// PlaceRecorded notes that the place of a task is durable, so that its start may
+// be ordered: the next leader knows where it can be.
+func (c *Core) PlaceRecorded(p lwjob.Placement) {
+	w, t := c.workers[p.Life], c.taskNamed(p.Task)
+	if w == nil || t == nil {
+		return
+	}
+	for _, r := range t.runs {
+		if r.worker == w && r.withheld {
+			r.withheld = false
+			r.sentAt = c.now
+			if r.phase == runOrdered {
+				c.sendOrder(w, c.startOrder(r))
+			}
+		}
+	}
+}
+
 func (c *Core) startOrder(r *run) StartRun {
 	return StartRun{
 		Task: r.task.name, Run: r.id, Text: r.task.step.job.spec.Text, Checkpoint: r.task.saved,
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -211,6 +211,9 @@
 func (c *Core) resend(r *run) {
 	switch r.phase {
 	case runOrdered:
+		if r.withheld {
+			return
+		}
 		r.sentAt = c.now
 		o := c.startOrder(r)
 		o.Repeated = true
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -195,6 +195,7 @@
 type Effects struct {
 	Orders    []WorkerOrders
 	Ends      []WorkerEnd         // to be recorded, in order
+	Places    []lwjob.Placement   // to be recorded; the starts follow then
 	Enrol     []lwjob.RosterEntry // to be added to the roster
 	Dismiss   []lwjob.WorkerLife  // to be taken off it
 	Decisions []Decision
--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -49,6 +49,15 @@
 	Failed []RunID `json:"failed,omitempty"` // runs that failed
 	Saved  string  `json:"saved,omitempty"`  // newest checkpoint that was recorded
 	Latest RunID   `json:"latest,omitempty"` // highest run that ended
+	// Place is the worker life that a task of a job with PlacesRecorded was given
+	// to last: no other can be running it.
+	Place WorkerLife `json:"place,omitzero"`
+}
+
+// Placement says which worker life a task is given to.
+type Placement struct {
+	Task lwunit.TaskID `json:"task"`
+	Life WorkerLife    `json:"life"`
 }
 
 // Job is the record of one accepted job.
@@ -62,6 +71,9 @@
 	Ended    lwunit.Millis           `json:"ended,omitempty"`
 	Tasks    map[TaskKey]*TaskRecord `json:"tasks,omitempty"`
 	Pending  int                     `json:"pending"` // tasks not yet done, of all occurrences
+	// PlacesRecorded is set if the places of its long-running tasks are recorded
+	// before they start.
+	PlacesRecorded bool `json:"places_recorded,omitempty"`
 }
 
 // Task returns the record of a task; what never ended has an empty one.
@@ -215,11 +227,7 @@
 	if j == nil || !j.has(key) {
 		return
 	}
-	r := j.Tasks[key]
-	if r == nil {
-		r = &TaskRecord{}
-		j.Tasks[key] = r
-	}
+	r := j.record(key)
 	if e.Saved != "" && e.Run >= r.Latest {
 		r.Saved = e.Saved
 	}
@@ -242,6 +250,27 @@
 	}
 }
 
+// Place notes which worker life a task is given to.
+func (t *Table) Place(p Placement) {
+	id, key, err := ParseTaskName(p.Task)
+	if err != nil {
+		return // the name is the leader's own
+	}
+	if j := t.c.Jobs[id]; j != nil && j.has(key) {
+		j.record(key).Place = p.Life
+	}
+}
+
+// record returns the record of a task, made if there is none.
+func (j *Job) record(key TaskKey) *TaskRecord {
+	r := j.Tasks[key]
+	if r == nil {
+		r = &TaskRecord{}
+		j.Tasks[key] = r
+	}
+	return r
+}
+
 // recordDone marks a task done; the members of a gang end together, so the end
 // of one is the end of all.
 func (t *Table) recordDone(j *Job, key TaskKey, at lwunit.Millis) {
@@ -251,12 +280,7 @@
 		first, last = 0, step.Count-1
 	}
 	for i := first; i <= last; i++ {
-		k := TaskKey{key.Occurrence, key.Step, i}
-		r := j.Tasks[k]
-		if r == nil {
-			r = &TaskRecord{}
-			j.Tasks[k] = r
-		}
+		r := j.record(TaskKey{key.Occurrence, key.Step, i})
 		if !r.Done {
 			r.Done = true
 			j.Pending--
--- a/internal/control/lwjob/table_test.go
+++ b/internal/control/lwjob/table_test.go
@@ -55,6 +55,21 @@
 		}
 		expectState(t, table, lwjob.Running)
 	})
+	t.Run("the last place of a task stays, also in a snapshot", func(t *testing.T) {
+		is := is.New(t)
+		table := lwjob.NewTable()
+		table.Accept(job(lwjob.Step{Count: 1, LongRunning: true}))
+		a, b := lwjob.WorkerLife{Worker: "a", Born: 1}, lwjob.WorkerLife{Worker: "b", Born: 2}
+		table.Place(lwjob.Placement{Task: "j.0.0.0", Life: a})
+		table.Record(end("j.0.0.0", 1, lwjob.EndLapsed), 5)
+		table.Place(lwjob.Placement{Task: "j.0.0.0", Life: b})
+		table.Place(lwjob.Placement{Task: "j.0.0.9", Life: a}) // no such task
+		data, err := json.Marshal(table.Contents())
+		is.NoErr(err)
+		var c lwjob.Contents
+		is.NoErr(json.Unmarshal(data, &c))
+		is.Equal(lwjob.Restore(c).Job("j").Task(lwjob.TaskKey{}).Place, b)
+	})
 	t.Run("long-running tasks have no limit", func(t *testing.T) {
 		table := lwjob.NewTable()
 		table.Accept(job(lwjob.Step{Count: 1, LongRunning: true}))
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -216,8 +216,8 @@
 		return "accept_job"
 	case CancelSteps:
 		return "cancel_steps"
-	case RecordEnds:
-		return "record_ends"
+	case RecordRuns:
+		return "record_runs"
 	case ChangeRoster:
 		return "change_roster"
 	case StartWave:
@@ -302,8 +302,8 @@
 		return decodeAs[AcceptJob](w.Body)
 	case "cancel_steps":
 		return decodeAs[CancelSteps](w.Body)
-	case "record_ends":
-		return decodeAs[RecordEnds](w.Body)
+	case "record_runs", "record_ends": // the second from before places were recorded
+		return decodeAs[RecordRuns](w.Body)
 	case "change_roster":
 		return decodeAs[ChangeRoster](w.Body)
 	case "start_wave":
--- a/internal/control/lwstate/queue.go
+++ b/internal/control/lwstate/queue.go
@@ -22,9 +22,10 @@
 	Job lwunit.JobID `json:"job"`
 }
 
-// RecordEnds notes how runs ended.
-type RecordEnds struct {
-	Ends []lwjob.End `json:"ends"`
+// RecordRuns notes how runs ended and to which workers tasks are given.
+type RecordRuns struct {
+	Ends   []lwjob.End       `json:"ends,omitempty"`
+	Places []lwjob.Placement `json:"places,omitempty"`
 }
 
 // ChangeRoster adds and removes worker lives that may hold runs.
@@ -58,7 +59,7 @@
 func (Configure) command()         {}
 func (AcceptJob) command()         {}
 func (CancelSteps) command()       {}
-func (RecordEnds) command()        {}
+func (RecordRuns) command()        {}
 func (ChangeRoster) command()      {}
 func (StartWave) command()         {}
 func (BeginUpkeep) command()       {}
@@ -76,10 +77,13 @@
 		res.Fresh = s.queues.Accept(c.Job)
 	case CancelSteps:
 		res.Fresh = s.queues.Cancel(c.Job, s.c.Clock)
-	case RecordEnds:
+	case RecordRuns:
 		for _, e := range c.Ends {
 			s.queues.Record(e, s.c.Clock)
 		}
+		for _, p := range c.Places {
+			s.queues.Place(p)
+		}
 	case ChangeRoster:
 		for _, w := range c.Enrol {
 			s.queues.Enrol(w)
