Move runs that stand still after 0.3 s, to workers that bear them at 60 percent

A step waits for its slowest run, and one that began at full pace and was slowed to a quarter stood for a second before it was moved, while one that had begun slower moved at once. Change: 0.3 s instead of 1 s, and another worker is good enough at 60 percent, as where a run begins. Test: TestStragglersOfAWideStepMove failed first.

--- a/internal/control/lwdispatch/interference_test.go
+++ b/internal/control/lwdispatch/interference_test.go
@@ -228,3 +228,39 @@
 		x.report(ids[i%workers])
 	}
 }
+
+// Runs of a wide step stand still beside a tail that they disturb, and the step
+// waits for them: they move to a worker that bears them well before their
+// siblings elsewhere are done.
+func TestStragglersOfAWideStepMove(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 8))
+	serving := tasks(1, 2, 0)
+	serving.LongRunning, serving.TailTarget, serving.Image = true, f.queue.Target, "web"
+	f.submit("serve", serving)
+	f.run("w1")
+	filling := tasks(2, 1, time.Second)
+	filling.Filling, filling.Checkpointed, filling.Image = true, true, "render"
+	f.submit("fill", filling)
+	f.run("w1")
+	f.join(workerInfo("w2", 8))
+	f.lists["w1"][0].Gauge = 300 // of a target of 250 ms
+	stops := func() int {
+		n := 0
+		for _, o := range f.orders["w1"] {
+			if _, ok := o.(StopRun); ok {
+				n++
+			}
+		}
+		return n
+	}
+	waited := time.Duration(0)
+	for ; waited < time.Second && stops() < 2; waited += 50 * time.Millisecond {
+		f.pass(50 * time.Millisecond)
+		f.report("w1")
+		f.report("w2")
+	}
+	if most := filling.Estimate.Std() / 2; waited > most {
+		t.Errorf("runs stood still for %s before they moved, want %s at most", waited, most)
+	}
+}
--- a/internal/control/lwdispatch/pace.go
+++ b/internal/control/lwdispatch/pace.go
@@ -16,8 +16,8 @@
 	raiseShare   = 0.8                    // of a target, that tails may reach where paced work gets more
 	raisePause   = 600 * time.Millisecond // between two raises on a worker: until the first shows
 	settleTime   = 700 * time.Millisecond // from a start until the run shows in a figure of the last half second
-	movePace     = 80                     // percent at which a run must be able to go on elsewhere to be moved
-	stuckAfter   = 1 * time.Second        // at a low pace until a run is moved to another worker
+	movePace     = 60                     // percent at which a run must be able to go on elsewhere to be moved
+	stuckAfter   = 300 * time.Millisecond // at a low pace until a run is moved to another worker
 	leastMeasure = 20 * time.Millisecond  // between two lists that carry figures of their own
 )
 
