Keep a life on the roster that has reported but not shown its lists yet

That leader found 57 lives on the roster, 61 were alive. i-a639ce3aa3 had reported to the leader of term 2 (worker_known) 0.35 s before what the earlier leader had granted it ended; then it was given up as never heard of (worker_given_up, it has not reported to this leader) and dismissed, though it was in use from then on. Change: a life that has reported is given up by its renewed lease only. Test: in TestNewLeaderWaitsForOldTasks, failed first: the life was off the roster, and its task was started elsewhere while it could run there.

--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -88,6 +88,27 @@
 		}
 		expectStarts(t, f.starts("w1"), "old.0.0.0/65537")
 	})
+	t.Run("one that reports just before, without its lists, stays on the roster and is waited for", func(t *testing.T) {
+		f := before(t)
+		f.join(f.infos["w1"])
+		for range 40 {
+			f.report("w1")
+			f.pass(100 * time.Millisecond)
+		}
+		for range 10 { // its lease is renewed, but nothing was read under the new token
+			f.core.Report(Report{Info: f.infos["w2"]})
+			f.report("w1")
+			f.pass(100 * time.Millisecond)
+		}
+		expectStarts(t, f.starts("w1"))
+		if n := len(f.table.Roster()); n != 2 {
+			t.Errorf("%d lives on the roster, want 2", n)
+		}
+		f.join(f.infos["w2"])
+		if got := len(f.starts("w1")) + len(f.starts("w2")); got != 1 {
+			t.Errorf("%d starts once both have reported, want 1", got)
+		}
+	})
 	t.Run("or a newer life reports from the same agent", func(t *testing.T) {
 		f := before(t)
 		f.join(f.infos["w1"])
--- a/internal/control/lwdispatch/life.go
+++ b/internal/control/lwdispatch/life.go
@@ -111,6 +111,9 @@
 		}
 	}
 	for life, a := range c.missing {
+		if c.workers[life] != nil {
+			continue // it has reported, which renewed its lease; its lists are still to come
+		}
 		if c.now >= a.leaseEnd {
 			delete(c.missing, life)
 			c.out.Dismiss = append(c.out.Dismiss, life)
