Let workers report for half a second before a new leader places serving tasks

A new leader placed all serving tasks on the first workers that reported, where filling work then finds no tails that bear it. Change: it places what could start sooner after 0.5 s, a little longer than agents take between two reports, or once all have reported. Test: in TestServingGoesOnUnderANewLeader, failed before the change.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -133,6 +133,7 @@
 	cfg      Config
 	term     uint64
 	now      time.Duration
+	began    time.Duration // when its term began
 	wall     lwunit.Millis // wall clock at now
 	config   *lwconfig.Document
 	jobs     map[lwunit.JobID]*job
@@ -160,7 +161,7 @@
 // until each of these workers has reported or its lease has ended.
 func New(cfg Config, term uint64, now time.Duration, wall lwunit.Millis, in Inherited) *Core {
 	c := &Core{
-		cfg: cfg, term: term, now: now, wall: wall, config: in.Config,
+		cfg: cfg, term: term, now: now, began: now, wall: wall, config: in.Config,
 		jobs: make(map[lwunit.JobID]*job), over: make(map[lwunit.JobID]*job), ended: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerLife]*worker), agents: make(map[string]lwjob.WorkerLife), fences: make(map[lwjob.WorkerLife]Token),
 		missing: make(map[lwjob.WorkerLife]absent), learned: make(map[lwconfig.QueueKey]*durations), pairs: make(pairs), bases: make(map[string]float64), demand: make(map[string]float64), meanWork: make(map[lwconfig.QueueKey]float64),
 	}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -42,6 +42,11 @@
 	return !t.done && len(t.runs) == 0 && c.now >= t.after && !c.mayRunUnseen(t)
 }
 
+// gatherTime is how long a new leader lets workers report before it places what
+// could start sooner, so that the first to report are not filled with it: a little
+// longer than agents take between two reports.
+const gatherTime = 500 * time.Millisecond
+
 // mayRunUnseen reports whether a task of a job of an earlier term may still run
 // on a worker that has not reported. Of a task whose places are recorded, only
 // the last one counts.
@@ -50,7 +55,7 @@
 	if j.term >= c.term || len(c.missing) == 0 {
 		return false
 	}
-	if !j.placed || !t.step.spec.LongRunning {
+	if !j.placed || !t.step.spec.LongRunning || c.now-c.began < gatherTime {
 		return true
 	}
 	_, unseen := c.missing[t.place]
