Ask replicas that have failed last, and follow redirects at once

Cause: a client of the control replicas waited its whole backoff (up to 1.5 s) before each attempt, also before it followed a redirect, and followed redirects back to a leader that had just failed. Any fault, also one that only a leader can answer (no such job, too much load), made it forget the leader, so that the next request made a detour over a follower and a pause.

Change: a call asks the replicas in rounds, those that have failed last, without a pause inside a round; then it backs off. An answer of the leader, also a refusal, keeps it known. Calls that wait go on as soon as another call has reached a leader.

--- a/internal/control/lwlink/client.go
+++ b/internal/control/lwlink/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +15,7 @@
 const (
 	attemptTimeout    = 2 * time.Second
 	initialRetryDelay = 50 * time.Millisecond
-	maxRetryDelay     = time.Second
+	maxRetryDelay     = 500 * time.Millisecond // shorter than an election
 )
 
 var (
@@ -28,53 +27,64 @@
 // its ticket number, job id or claim key, so the client resends a command whose
 // answer was lost until its context ends.
 type Client struct {
-	endpoint  *lwrpc.Endpoint
-	addresses []string // RPC addresses of the known replicas; guarded by mu, as addresses are added later
+	transport transport
 
 	mu           sync.Mutex
-	leader       string    // address of the last known leader, or ""
-	nextIndex    int       // into addresses: the replica asked last while no leader was known
-	watchAddress string    // replica that this client watches, or ""
-	leaderLostAt time.Time // time of the first failed attempt since the last successful one; zero if none failed
+	replicas     rotation
+	watchAddress string        // replica that this client watches, or ""
+	leaderLostAt time.Time     // time of the first attempt that reached no leader since one was reached; zero if there is none
+	leaderFound  chan struct{} // closed when a leader is reached again
 }
 
 // NewClient returns a client for the replicas at the given RPC addresses.
 func NewClient(e *lwrpc.Endpoint, addresses []string) *Client {
-	return &Client{endpoint: e, addresses: slices.Clone(addresses), nextIndex: rand.IntN(max(1, len(addresses)))}
+	return newClient(endpointTransport{e}, addresses)
 }
 
-// nextAddress returns the address of the leader if it is known, else of the next
-// replica in turn.
+func newClient(t transport, addresses []string) *Client {
+	return &Client{transport: t, replicas: newRotation(addresses), leaderFound: make(chan struct{})}
+}
+
+// nextAddress returns the replica to ask first.
 func (c *Client) nextAddress() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leader != "" {
-		return c.leader
-	}
-	c.nextIndex = (c.nextIndex + 1) % len(c.addresses)
-	return c.addresses[c.nextIndex]
+	address, _ := c.replicas.next(nil)
+	return address
 }
 
-// updateLeader updates the known leader after an attempt at an address. Any error
-// counts as a failed attempt, even a refusal by the leader.
-func (c *Client) updateLeader(from string, err error) {
+// recordAttempt records the outcome of an attempt at an address.
+func (c *Client) recordAttempt(address string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err == nil {
-		c.leader = from
+	c.replicas.update(address, err)
+	switch {
+	case !provesLeader(err):
+		if c.leaderLostAt.IsZero() {
+			c.leaderLostAt = time.Now()
+		}
+	case !c.leaderLostAt.IsZero():
 		c.leaderLostAt = time.Time{}
-		return
-	}
-	if c.leaderLostAt.IsZero() {
-		c.leaderLostAt = time.Now()
-	}
-	if c.leader == from {
-		c.leader = ""
+		close(c.leaderFound)
+		c.leaderFound = make(chan struct{})
 	}
-	if f := lwfault.As(err); f.Kind == lwfault.NotLeader && f.Leader != "" {
-		clientRedirects.Add(1)
-		c.leader = f.Leader
+}
+
+// awaitLeader waits for the given time, or until another call has reached a leader.
+// It returns false if ctx ends before.
+func (c *Client) awaitLeader(ctx context.Context, d time.Duration) bool {
+	c.mu.Lock()
+	found := c.leaderFound
+	c.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-found:
+	case <-timer.C:
 	}
+	return true
 }
 
 // isRetryable reports whether another attempt can succeed. The fault of a command
@@ -88,30 +98,26 @@
 	}
 }
 
-// callLeader sends a request to the leader, following redirects and retrying
-// with jittered exponential backoff until ctx ends.
+// callLeader sends a request to the leader, with retries until ctx ends.
 func (c *Client) callLeader(ctx context.Context, method string, params, result any) error {
-	delay := initialRetryDelay
+	s := search{client: c, delay: initialRetryDelay, maxDelay: maxRetryDelay}
 	for {
-		address := c.nextAddress()
+		address := s.next()
 		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		err := c.endpoint.Peer(address).Call(attempt, method, params, result)
+		err := c.transport.Call(attempt, address, method, params, result)
 		cancel()
-		c.updateLeader(address, err)
+		c.recordAttempt(address, err)
 		if err == nil || !isRetryable(err) {
 			return err
 		}
 		if lwfault.KindOf(err) == lwfault.Timeout {
 			// A network partition does not close the connection.
-			c.endpoint.Peer(address).Disconnect()
+			c.transport.Disconnect(address)
 		}
 		clientRetries.Add(1)
-		select {
-		case <-ctx.Done():
+		if !c.awaitLeader(ctx, s.pause(err)) {
 			return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no control leader answered in time", RetryAfter: time.Second, Cause: err}
-		case <-time.After(delay/2 + rand.N(delay)):
 		}
-		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
@@ -152,10 +158,10 @@
 func (c *Client) Sync(ctx context.Context, s Sync) (SyncReply, error) {
 	address := c.nextAddress()
 	var res SyncReply
-	err := c.endpoint.Peer(address).Call(ctx, MethodSync, s, &res)
-	c.updateLeader(address, err)
+	err := c.transport.Call(ctx, address, MethodSync, s, &res)
+	c.recordAttempt(address, err)
 	if lwfault.KindOf(err) == lwfault.Timeout && err != nil {
-		c.endpoint.Peer(address).Disconnect()
+		c.transport.Disconnect(address)
 	}
 	return res, err
 }
@@ -166,18 +172,18 @@
 func (c *Client) Watch(ctx context.Context, w Watch) (WatchReply, error) {
 	c.mu.Lock()
 	if c.watchAddress == "" {
-		c.watchAddress = c.addresses[rand.IntN(len(c.addresses))]
+		c.watchAddress = c.replicas.addresses[rand.IntN(len(c.replicas.addresses))]
 	}
 	address := c.watchAddress
 	c.mu.Unlock()
 	var res WatchReply
-	err := c.endpoint.Peer(address).Call(ctx, MethodWatch, w, &res)
+	err := c.transport.Call(ctx, address, MethodWatch, w, &res)
 	if err != nil {
 		c.mu.Lock()
 		c.watchAddress = ""
 		c.mu.Unlock()
 		if lwfault.KindOf(err) == lwfault.Timeout {
-			c.endpoint.Peer(address).Disconnect()
+			c.transport.Disconnect(address)
 		}
 	}
 	return res, err
--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -132,7 +131,8 @@
 
 const (
 	queueAttemptTimeout = 600 * time.Millisecond  // for one answer of the leader: a commit on a slow disk and two network crossings
-	queueRetryDelay     = 40 * time.Millisecond   // mean delay before the next attempt
+	queueRetryDelay     = 40 * time.Millisecond   // mean delay after the first round
+	maxQueueRetryDelay  = 160 * time.Millisecond  // mean delay after a later round
 	minAttemptTime      = 150 * time.Millisecond  // time that must be left for a further attempt: a dial, two network crossings and a commit
 	noLeaderTimeout     = 1200 * time.Millisecond // longest time that a request waits for a leader
 	noLeaderRetryAfter  = time.Second             // an election is over by then
@@ -149,12 +149,13 @@
 	if method != MethodProbeLeader && c.leaderlessFor() > noLeaderTimeout {
 		return noLeaderFault(nil)
 	}
+	s := search{client: c, delay: queueRetryDelay, maxDelay: maxQueueRetryDelay}
 	for {
-		address := c.nextAddress()
+		address := s.next()
 		attempt, cancel := context.WithTimeout(ctx, queueAttemptTimeout)
-		err := c.endpoint.Peer(address).Call(attempt, method, params, result)
+		err := c.transport.Call(attempt, address, method, params, result)
 		cancel()
-		c.updateLeader(address, err)
+		c.recordAttempt(address, err)
 		if err == nil {
 			return nil
 		}
@@ -168,21 +169,20 @@
 			mayHaveRun = true
 		}
 		if lwfault.KindOf(err) == lwfault.Timeout {
-			c.endpoint.Peer(address).Disconnect() // a network partition does not close the connection
+			c.transport.Disconnect(address) // a network partition does not close the connection
 		}
 		clientRetries.Add(1)
-		delay := queueRetryDelay/2 + rand.N(queueRetryDelay)
-		if !mayHaveRun && (time.Since(start) > noLeaderTimeout || endsWithin(ctx, delay+minAttemptTime)) {
+		pause := s.pause(err)
+		if !mayHaveRun && (time.Since(start) > noLeaderTimeout || endsWithin(ctx, pause+minAttemptTime)) {
 			return noLeaderFault(err) // the outcome of an attempt that is cut short would be unknown
 		}
-		select {
-		case <-ctx.Done():
-			if mayHaveRun {
-				return &lwfault.Fault{Kind: lwfault.Unknown, Detail: "the leader did not answer; the request may have been carried out", Cause: err}
-			}
-			return noLeaderFault(err)
-		case <-time.After(delay):
+		if c.awaitLeader(ctx, pause) {
+			continue
+		}
+		if mayHaveRun {
+			return &lwfault.Fault{Kind: lwfault.Unknown, Detail: "the leader did not answer; the request may have been carried out", Cause: err}
 		}
+		return noLeaderFault(err)
 	}
 }
 
@@ -196,8 +196,8 @@
 	return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no control leader is known", RetryAfter: noLeaderRetryAfter, Cause: cause}
 }
 
-// leaderlessFor returns the time since the first failed attempt after the last
-// successful one, or zero if the last attempt succeeded.
+// leaderlessFor returns the time since the first attempt that reached no leader
+// after one was reached, or zero if the last attempt reached it.
 func (c *Client) leaderlessFor() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -281,14 +281,14 @@
 func (c *Client) Report(ctx context.Context, m lwdispatch.Report) (ReportReply, error) {
 	address := c.nextAddress()
 	var res ReportReply
-	err := c.endpoint.Peer(address).Call(ctx, MethodReport, m, &res)
-	c.updateLeader(address, err)
+	err := c.transport.Call(ctx, address, MethodReport, m, &res)
+	c.recordAttempt(address, err)
 	if err == nil {
 		c.addAddresses(res.ControlAddresses)
 		return res, nil
 	}
 	if lwfault.KindOf(err) == lwfault.Timeout {
-		c.endpoint.Peer(address).Disconnect()
+		c.transport.Disconnect(address)
 	}
 	return res, err
 }
@@ -307,11 +307,7 @@
 func (c *Client) addAddresses(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, a := range addresses {
-		if !slices.Contains(c.addresses, a) {
-			c.addresses = append(c.addresses, a)
-		}
-	}
+	c.replicas.add(addresses)
 }
 
 // Announcement names the replicas and the leader.
@@ -326,8 +322,8 @@
 	c.addAddresses(m.ControlAddresses)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leader == "" {
-		c.leader = m.Leader
+	if c.replicas.leader == "" {
+		c.replicas.leader = m.Leader
 	}
 }
 
@@ -335,14 +331,14 @@
 func (c *Client) Addresses() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.addresses)
+	return slices.Clone(c.replicas.addresses)
 }
 
 // Leader returns the RPC address of the last known leader, or "".
 func (c *Client) Leader() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leader
+	return c.replicas.leader
 }
 
 // AddSeeds adds the addresses of seeds in reloaded settings. It removes none.
--- /dev/null
+++ b/internal/control/lwlink/rotation.go
@@ -0,0 +1,103 @@
+package lwlink
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+)
+
+// rotation chooses the replica to ask next. It is not safe for concurrent use.
+type rotation struct {
+	addresses []string             // RPC addresses of the known replicas
+	leader    string               // address of the last known leader, or ""
+	nextIndex int                  // into addresses: where the search for a leader begins
+	failedAt  map[string]time.Time // last failure of the replicas that have not answered since
+}
+
+func newRotation(addresses []string) rotation {
+	return rotation{addresses: slices.Clone(addresses), nextIndex: rand.IntN(max(1, len(addresses))), failedAt: make(map[string]time.Time)}
+}
+
+// next returns the replica to ask after those in tried, which were asked already
+// in this round: the leader, then replicas in turn, then those that have failed,
+// the leader and the oldest failure first. A follower may redirect to a leader that
+// it does not know to be lost, so a known leader that has failed is not preferred. It
+// returns false once all replicas have been tried.
+func (r *rotation) next(tried []string) (string, bool) {
+	if r.leader != "" && !r.hasFailed(r.leader) && !slices.Contains(tried, r.leader) {
+		return r.leader, true
+	}
+	failed := ""
+	for i := range r.addresses {
+		address := r.addresses[(r.nextIndex+i)%len(r.addresses)]
+		switch {
+		case slices.Contains(tried, address):
+		case !r.hasFailed(address):
+			r.nextIndex = (r.nextIndex + i + 1) % len(r.addresses)
+			return address, true
+		case failed == "" || r.failedBefore(address, failed):
+			failed = address
+		}
+	}
+	if r.leader != "" && !slices.Contains(tried, r.leader) {
+		return r.leader, true
+	}
+	return failed, failed != ""
+}
+
+func (r *rotation) hasFailed(address string) bool {
+	_, failed := r.failedAt[address]
+	return failed
+}
+
+func (r *rotation) failedBefore(a, b string) bool { return r.failedAt[a].Before(r.failedAt[b]) }
+
+// update records the outcome of an attempt at an address.
+func (r *rotation) update(address string, err error) {
+	switch {
+	case provesLeader(err):
+		r.leader = address
+		delete(r.failedAt, address)
+	case lwfault.KindOf(err) == lwfault.NotLeader:
+		delete(r.failedAt, address)
+		if r.leader == address {
+			r.leader = ""
+		}
+		if l := lwfault.As(err).Leader; l != "" && l != address {
+			clientRedirects.Add(1)
+			r.leader = l
+		}
+	default:
+		r.failedAt[address] = time.Now()
+		if r.leader == address {
+			r.leader = ""
+		}
+	}
+}
+
+// add adds the replicas that are not known yet.
+func (r *rotation) add(addresses []string) {
+	for _, a := range addresses {
+		if !slices.Contains(r.addresses, a) {
+			r.addresses = append(r.addresses, a)
+		}
+	}
+}
+
+// provesLeader reports whether the outcome of an attempt shows that the replica
+// leads: it served the request, or refused it for a reason that only a leader can
+// know.
+func provesLeader(err error) bool {
+	if err == nil {
+		return true
+	}
+	switch lwfault.KindOf(err) {
+	case lwfault.Invalid, lwfault.Forbidden, lwfault.NotFound, lwfault.Conflict, lwfault.Expired, lwfault.Overloaded,
+		lwfault.TooLarge, lwfault.Fenced, lwfault.Unrepeatable, lwfault.StillRunning:
+		return true
+	default:
+		return false
+	}
+}
