Share dials between calls, and keep connections that answer

Cause: calls of one peer dialled under its lock, so that a call with 50 ms left waited up to 1.4 s for the dial of another, and the deadline of the call that dialled ended the dial for all. A fault of kind Unavailable that the peer had answered closed the connection under all other calls, whose outcome was then unknown.

Change: one dial in the background, which calls wait for until their own deadline; only an error of the connection closes it. Peer has a file of its own.

Measured: three tests (peer_test.go), all failing before: 0.7 s for a deadline of 50 ms, a redial refused, a call cut off by the fault of another.

--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -21,13 +21,10 @@
 )
 
 const (
-	helloMethod       = "hello"
-	dialTimeout       = 700 * time.Millisecond // several round trips between failure domains
-	helloTimeout      = 700 * time.Millisecond
-	minRedialInterval = 100 * time.Millisecond // from the start of a failed dial to the next one
-	readBufferBytes   = 16 << 10
-	maxUnsentBytes    = 16 << 20
-	faultErrorCode    = -32000
+	helloMethod     = "hello"
+	readBufferBytes = 16 << 10
+	maxUnsentBytes  = 16 << 20
+	faultErrorCode  = -32000
 )
 
 // Session is one authenticated connection to another process.
@@ -89,7 +86,8 @@
 
 	closeOnce sync.Once
 	closing   atomic.Bool
-	sessions  sync.Map // *nbio.Conn to *Session
+	dials     sync.WaitGroup // of peers; none begins once closing is set and each peer has been disconnected
+	sessions  sync.Map       // *nbio.Conn to *Session
 
 	mu      sync.RWMutex
 	methods map[string]Handler
@@ -155,9 +153,10 @@
 	e.closing.Store(true)
 	e.mu.RLock()
 	for _, p := range e.peers {
-		p.disconnect()
+		p.Disconnect()
 	}
 	e.mu.RUnlock()
+	e.dials.Wait()
 	e.closeOnce.Do(func() {
 		close(e.done)
 		lwhttp.StopEngine(e.engine.Stop)
@@ -248,146 +247,6 @@
 	return struct{}{}, nil
 }
 
-// Peer returns the peer at address. It does not connect yet.
-func (e *Endpoint) Peer(address string) *Peer {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p, ok := e.peers[address]
-	if !ok {
-		p = &Peer{endpoint: e, address: address}
-		e.peers[address] = p
-	}
-	return p
-}
-
-// Peer is the process at one address. It connects on first use and reconnects
-// after the connection has closed.
-type Peer struct {
-	endpoint *Endpoint
-	address  string
-
-	mu             sync.Mutex
-	session        *Session
-	lastFailedDial time.Time // when the last dial began; zero after a successful one
-}
-
-// Address returns the address of the peer.
-func (p *Peer) Address() string { return p.address }
-
-// NotSentError reports that a request was not sent.
-type NotSentError struct{ Cause error }
-
-// Error returns the cause after "not sent".
-func (e *NotSentError) Error() string { return "not sent: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Cause }
-
-// Call sends a request to the peer and decodes the answer into result. A
-// *NotSentError means that the peer has not received the request. After any
-// other fault of kind Unavailable or Timeout that the peer did not answer
-// itself, it may or may not have received the request.
-func (p *Peer) Call(ctx context.Context, method string, params, result any) error {
-	s, err := p.connect(ctx)
-	if err != nil {
-		return &NotSentError{err}
-	}
-	err = s.Call(ctx, method, params, result)
-	if err != nil && mayBeDisconnected(err) {
-		p.discard(s)
-	}
-	return err
-}
-
-// Notify sends a notification to the peer.
-func (p *Peer) Notify(ctx context.Context, method string, params any) error {
-	s, err := p.connect(ctx)
-	if err != nil {
-		return err
-	}
-	if err := s.Notify(ctx, method, params); err != nil {
-		p.discard(s)
-		return err
-	}
-	return nil
-}
-
-// mayBeDisconnected reports whether err may come from a closed connection.
-// Faults of kind Unavailable that the peer answered itself count too.
-func mayBeDisconnected(err error) bool {
-	return errors.Is(err, jsonrpc2.ErrClosed) || lwfault.KindOf(err) == lwfault.Unavailable
-}
-
-// Disconnect closes the connection; the next use dials again.
-func (p *Peer) Disconnect() { p.disconnect() }
-
-func (p *Peer) disconnect() {
-	p.mu.Lock()
-	s := p.session
-	p.session = nil
-	p.mu.Unlock()
-	if s != nil {
-		s.Close()
-	}
-}
-
-// discard closes s and stops using it.
-func (p *Peer) discard(s *Session) {
-	p.mu.Lock()
-	if p.session == s {
-		p.session = nil
-	}
-	p.mu.Unlock()
-	s.Close()
-}
-
-// connect returns the open session or dials a new one, but not within
-// minRedialInterval of a failed dial. The TCP dial ignores ctx and takes up to
-// dialTimeout.
-func (p *Peer) connect(ctx context.Context) (*Session, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.session != nil {
-		select {
-		case <-p.session.Done():
-		default:
-			return p.session, nil
-		}
-	}
-	if time.Since(p.lastFailedDial) < minRedialInterval {
-		return nil, lwfault.New(lwfault.Unavailable, "the last dial of %s failed; it began less than %s ago", p.address, minRedialInterval)
-	}
-	p.lastFailedDial = time.Now()
-	s, err := p.endpoint.dial(ctx, p.address)
-	if err != nil {
-		return nil, err
-	}
-	p.session = s
-	p.lastFailedDial = time.Time{}
-	return s, nil
-}
-
-func (e *Endpoint) dial(ctx context.Context, address string) (*Session, error) {
-	if e.closing.Load() {
-		return nil, lwfault.New(lwfault.Unavailable, "this endpoint is closed")
-	}
-	c, err := nbio.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "dial " + address, Cause: err}
-	}
-	s := e.addSession(c, true)
-	if _, err := e.engine.AddConn(c); err != nil {
-		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "poll " + address, Cause: err}
-	}
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	if err := s.Call(ctx, helloMethod, helloParams{e.key}, nil); err != nil {
-		s.Close()
-		return nil, fmt.Errorf("authenticate to %s: %w", address, err)
-	}
-	return s, nil
-}
-
 // faultData is the data of a JSON-RPC error that carries a fault.
 type faultData struct {
 	Kind       lwfault.Kind  `json:"kind"`
@@ -412,7 +271,7 @@
 		if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 			return &lwfault.Fault{Kind: lwfault.Timeout, Detail: "no answer in time", Cause: err}
 		}
-		return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "connection lost", Cause: err}
+		return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "connection lost", Cause: &connLostError{err}}
 	}
 	var data faultData
 	if e.Data == nil || json.Unmarshal(*e.Data, &data) != nil || data.Kind == "" {
