Wait longer for a leader that is slow

Cause: an attempt ended after 0.6 s without an answer and closed the connection under all other requests of the process; then the request was sent again. A leader that took 0.8 s for an answer, for example under load, served nobody: requests were held until their deadline and ended as unknown, and each was asked for five times.

Change: each attempt without an answer doubles the time of the next one; only the endpoint, by pings, decides that a connection is dead. Reports and syncs follow redirects within one call, so that they find a leader again that failed to answer the last one; it is asked after two other replicas. A request that has waited in vain for a leader now always lets the next one be refused at once (the test was flaky by the difference of two clock readings).

--- a/internal/control/lwlink/client.go
+++ b/internal/control/lwlink/client.go
@@ -45,12 +45,13 @@
 	return &Client{transport: t, replicas: newRotation(addresses), leaderFound: make(chan struct{})}
 }
 
-// nextAddress returns the replica to ask first.
-func (c *Client) nextAddress() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	address, _ := c.replicas.next(nil)
-	return address
+// call makes one attempt at an address and records its outcome. An attempt without
+// an answer does not close the connection, which other calls share: the endpoint
+// closes it once the peer does not answer pings either.
+func (c *Client) call(ctx context.Context, address, method string, params, result any) error {
+	err := c.transport.Call(ctx, address, method, params, result)
+	c.recordAttempt(address, err)
+	return err
 }
 
 // recordAttempt records the outcome of an attempt at an address.
@@ -100,20 +101,12 @@
 
 // callLeader sends a request to the leader, with retries until ctx ends.
 func (c *Client) callLeader(ctx context.Context, method string, params, result any) error {
-	s := search{client: c, delay: initialRetryDelay, maxDelay: maxRetryDelay}
+	s := search{client: c, timeout: attemptTimeout, delay: initialRetryDelay, maxDelay: maxRetryDelay}
 	for {
-		address := s.next()
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
-		err := c.transport.Call(attempt, address, method, params, result)
-		cancel()
-		c.recordAttempt(address, err)
+		err := s.attempt(ctx, method, params, result)
 		if err == nil || !isRetryable(err) {
 			return err
 		}
-		if lwfault.KindOf(err) == lwfault.Timeout {
-			// A network partition does not close the connection.
-			c.transport.Disconnect(address)
-		}
 		clientRetries.Add(1)
 		if !c.awaitLeader(ctx, s.pause(err)) {
 			return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no control leader answered in time", RetryAfter: time.Second, Cause: err}
@@ -121,6 +114,18 @@
 	}
 }
 
+// callLeaderOnce sends a request to the leader, for which it asks each replica at
+// most once.
+func (c *Client) callLeaderOnce(ctx context.Context, method string, params, result any) error {
+	s := search{client: c, timeout: attemptTimeout, delay: initialRetryDelay, maxDelay: maxRetryDelay}
+	for {
+		err := s.attempt(ctx, method, params, result)
+		if err == nil || !isRetryable(err) || ctx.Err() != nil || s.pause(err) > 0 {
+			return err
+		}
+	}
+}
+
 // Propose sends a command and returns its outcome. After an error of kind
 // Unavailable the command may or may not have taken effect; it is safe to send
 // it again.
@@ -154,15 +159,10 @@
 }
 
 // Sync sends an agent's reports to the leader and renews the leases of its worker.
-// It makes one attempt, since the agent sends newer reports at the next interval.
+// It does not retry, since the agent sends newer reports at the next interval.
 func (c *Client) Sync(ctx context.Context, s Sync) (SyncReply, error) {
-	address := c.nextAddress()
 	var res SyncReply
-	err := c.transport.Call(ctx, address, MethodSync, s, &res)
-	c.recordAttempt(address, err)
-	if lwfault.KindOf(err) == lwfault.Timeout && err != nil {
-		c.transport.Disconnect(address)
-	}
+	err := c.callLeaderOnce(ctx, MethodSync, s, &res)
 	return res, err
 }
 
@@ -182,9 +182,6 @@
 		c.mu.Lock()
 		c.watchAddress = ""
 		c.mu.Unlock()
-		if lwfault.KindOf(err) == lwfault.Timeout {
-			c.transport.Disconnect(address)
-		}
 	}
 	return res, err
 }
--- a/internal/control/lwlink/client_test.go
+++ b/internal/control/lwlink/client_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
@@ -18,10 +19,8 @@
 type fakeReplicas struct {
 	answer map[string]func(ctx context.Context) error
 
-	mu           sync.Mutex
-	calls        []string // addresses, in order
-	disconnected []string
-	silentFor    time.Duration
+	mu    sync.Mutex
+	calls []string // addresses, in order
 }
 
 func (f *fakeReplicas) Call(ctx context.Context, address, _ string, _, _ any) error {
@@ -31,12 +30,6 @@
 	return f.answer[address](ctx)
 }
 
-func (f *fakeReplicas) Disconnect(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.disconnected = append(f.disconnected, address)
-}
-
 // callsTo returns how often the replica at address was asked.
 func (f *fakeReplicas) callsTo(address string) int {
 	f.mu.Lock()
@@ -235,3 +228,35 @@
 		}
 	})
 }
+
+// Reports are not repeated, so one report must find a leader that did not answer the
+// report before it but still leads.
+func TestReportReturnsToSlowLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup()
+		slow := false
+		g.answer["b"] = func(ctx context.Context) error {
+			if !slow {
+				return nil
+			}
+			<-ctx.Done()
+			return &lwfault.Fault{Kind: lwfault.Timeout, Cause: ctx.Err()}
+		}
+		c := newClient(g, replicaAddresses)
+		report := func() error {
+			_, err := c.Report(within(t, 600*time.Millisecond), lwdispatch.Report{})
+			return err
+		}
+		if err := report(); err != nil {
+			t.Fatal(err)
+		}
+		slow = true
+		if err := report(); lwfault.KindOf(err) != lwfault.Timeout {
+			t.Fatalf("got %v, want a timeout", err)
+		}
+		slow = false
+		if err := report(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -130,7 +130,7 @@
 }
 
 const (
-	queueAttemptTimeout = 600 * time.Millisecond  // for one answer of the leader: a commit on a slow disk and two network crossings
+	queueAttemptTimeout = 600 * time.Millisecond  // for the first answer of the leader: a commit on a slow disk and two network crossings
 	queueRetryDelay     = 40 * time.Millisecond   // mean delay after the first round
 	maxQueueRetryDelay  = 160 * time.Millisecond  // mean delay after a later round
 	minAttemptTime      = 150 * time.Millisecond  // time that must be left for a further attempt: a dial, two network crossings and a commit
@@ -149,13 +149,9 @@
 	if method != MethodProbeLeader && c.leaderlessFor() > noLeaderTimeout {
 		return noLeaderFault(nil)
 	}
-	s := search{client: c, delay: queueRetryDelay, maxDelay: maxQueueRetryDelay}
+	s := search{client: c, timeout: queueAttemptTimeout, delay: queueRetryDelay, maxDelay: maxQueueRetryDelay}
 	for {
-		address := s.next()
-		attempt, cancel := context.WithTimeout(ctx, queueAttemptTimeout)
-		err := c.transport.Call(attempt, address, method, params, result)
-		cancel()
-		c.recordAttempt(address, err)
+		err := s.attempt(ctx, method, params, result)
 		if err == nil {
 			return nil
 		}
@@ -168,12 +164,13 @@
 		if !hadNoEffect(err) {
 			mayHaveRun = true
 		}
-		if lwfault.KindOf(err) == lwfault.Timeout {
-			c.transport.Disconnect(address) // a network partition does not close the connection
-		}
 		clientRetries.Add(1)
 		pause := s.pause(err)
-		if !mayHaveRun && (time.Since(start) > noLeaderTimeout || endsWithin(ctx, pause+minAttemptTime)) {
+		if !mayHaveRun && time.Since(start) > noLeaderTimeout {
+			c.leaderlessSince(start)
+			return noLeaderFault(err)
+		}
+		if !mayHaveRun && endsWithin(ctx, pause+minAttemptTime) {
 			return noLeaderFault(err) // the outcome of an attempt that is cut short would be unknown
 		}
 		if c.awaitLeader(ctx, pause) {
@@ -207,6 +204,16 @@
 	return time.Since(c.leaderLostAt)
 }
 
+// leaderlessSince records that a request found no leader from start until now, so
+// that the next one is refused at once.
+func (c *Client) leaderlessSince(start time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leaderLostAt.IsZero() && start.Before(c.leaderLostAt) {
+		c.leaderLostAt = start
+	}
+}
+
 // isRefusal reports whether an error says that this attempt was refused.
 func isRefusal(err error) bool {
 	k := lwfault.KindOf(err)
@@ -276,19 +283,13 @@
 	return res, err
 }
 
-// Report sends an agent's report of its worker to the leader. It makes one
-// attempt, since the next report is newer.
+// Report sends an agent's report of its worker to the leader. It does not retry,
+// since the next report is newer.
 func (c *Client) Report(ctx context.Context, m lwdispatch.Report) (ReportReply, error) {
-	address := c.nextAddress()
 	var res ReportReply
-	err := c.transport.Call(ctx, address, MethodReport, m, &res)
-	c.recordAttempt(address, err)
+	err := c.callLeaderOnce(ctx, MethodReport, m, &res)
 	if err == nil {
 		c.addAddresses(res.ControlAddresses)
-		return res, nil
-	}
-	if lwfault.KindOf(err) == lwfault.Timeout {
-		c.transport.Disconnect(address)
 	}
 	return res, err
 }
--- a/internal/control/lwlink/queue_test.go
+++ b/internal/control/lwlink/queue_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,3 +130,37 @@
 		t.Errorf("the second request waited for %s", took)
 	}
 }
+
+// A leader that answers later than an attempt lasts, because it has too much to do,
+// must be waited for. To give it up, or to close the connection that all requests
+// share, makes every request start again.
+func TestSlowLeaderServesAll(t *testing.T) {
+	var served atomic.Int64
+	leader := newLeader(t, func(context.Context) (any, error) {
+		served.Add(1)
+		time.Sleep(800 * time.Millisecond)
+		return struct{}{}, nil
+	})
+	follower := newLeader(t, func(context.Context) (any, error) {
+		return nil, &lwfault.Fault{Kind: lwfault.NotLeader, Leader: leader.Address()}
+	})
+	e, err := lwrpc.Listen("", testKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	c := lwlink.NewClient(e, []string{leader.Address(), follower.Address()})
+	const requests = 20
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			if took, err := submitWith(t, c, 3*time.Second); err != nil {
+				t.Errorf("got %v after %s", err, took)
+			}
+		})
+	}
+	wg.Wait()
+	if n := served.Load(); n > 2*requests {
+		t.Errorf("the leader was asked %d times by %d requests", n, requests)
+	}
+}
--- a/internal/control/lwlink/rotation.go
+++ b/internal/control/lwlink/rotation.go
@@ -20,13 +20,16 @@
 	return rotation{addresses: slices.Clone(addresses), nextIndex: rand.IntN(max(1, len(addresses))), failedAt: make(map[string]time.Time)}
 }
 
-// next returns the replica to ask after those in tried, which were asked already
-// in this round: the leader, then replicas in turn, then those that have failed,
-// the leader and the oldest failure first. A follower may redirect to a leader that
-// it does not know to be lost, so a known leader that has failed is not preferred. It
-// returns false once all replicas have been tried.
+// asksBeforeFailedLeader is how many replicas are asked in a round before a leader
+// that has failed. Followers may redirect to it until they know that it is lost.
+const asksBeforeFailedLeader = 2
+
+// next returns the replica to ask after those in tried, which were asked already in
+// this round: the leader, then replicas in turn, then those that have failed, the
+// oldest failure first. It returns false once all replicas have been tried.
 func (r *rotation) next(tried []string) (string, bool) {
-	if r.leader != "" && !r.hasFailed(r.leader) && !slices.Contains(tried, r.leader) {
+	askLeader := r.leader != "" && !slices.Contains(tried, r.leader)
+	if askLeader && (!r.hasFailed(r.leader) || len(tried) >= asksBeforeFailedLeader) {
 		return r.leader, true
 	}
 	failed := ""
@@ -41,7 +44,7 @@
 			failed = address
 		}
 	}
-	if r.leader != "" && !slices.Contains(tried, r.leader) {
+	if askLeader {
 		return r.leader, true
 	}
 	return failed, failed != ""
--- a/internal/control/lwlink/search.go
+++ b/internal/control/lwlink/search.go
@@ -1,19 +1,37 @@
 package lwlink
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 )
 
 // search is the order in which one call asks the replicas: in rounds, with an
-// exponential backoff after each round.
+// exponential backoff after each round. Each attempt without an answer doubles the
+// time of the next ones, so that a slow leader is not asked again and again for what
+// it is about to answer.
 type search struct {
 	client   *Client
-	tried    []string // replicas that were asked in this round
-	delay    time.Duration
+	tried    []string      // replicas that were asked in this round
+	timeout  time.Duration // of the next attempt
+	delay    time.Duration // mean pause after this round
 	maxDelay time.Duration
 }
 
+// attempt asks the next replica.
+func (s *search) attempt(ctx context.Context, method string, params, result any) error {
+	address := s.next()
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	err := s.client.call(ctx, address, method, params, result)
+	if lwfault.KindOf(err) == lwfault.Timeout {
+		s.timeout *= 2
+	}
+	return err
+}
+
 // next returns the replica to ask.
 func (s *search) next() string {
 	s.client.mu.Lock()
--- a/internal/control/lwlink/transport.go
+++ b/internal/control/lwlink/transport.go
@@ -10,8 +10,6 @@
 type transport interface {
 	// Call is lwrpc.Peer.Call for the replica at address.
 	Call(ctx context.Context, address, method string, params, result any) error
-	// Disconnect closes the connection to address; the next call dials again.
-	Disconnect(address string)
 }
 
 type endpointTransport struct{ endpoint *lwrpc.Endpoint }
@@ -19,5 +17,3 @@
 func (t endpointTransport) Call(ctx context.Context, address, method string, params, result any) error {
 	return t.endpoint.Peer(address).Call(ctx, method, params, result)
 }
-
-func (t endpointTransport) Disconnect(address string) { t.endpoint.Peer(address).Disconnect() }
--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -153,7 +153,7 @@
 	e.closing.Store(true)
 	e.mu.RLock()
 	for _, p := range e.peers {
-		p.Disconnect()
+		p.disconnect()
 	}
 	e.mu.RUnlock()
 	e.dials.Wait()
--- a/internal/net/lwrpc/peer.go
+++ b/internal/net/lwrpc/peer.go
@@ -104,8 +104,8 @@
 	return nil
 }
 
-// Disconnect closes the connection; the next use dials again.
-func (p *Peer) Disconnect() {
+// disconnect closes the connection; the next use dials again.
+func (p *Peer) disconnect() {
 	p.mu.Lock()
 	s := p.session
 	p.session = nil
@@ -183,7 +183,7 @@
 	p.mu.Unlock()
 	close(d.done)
 	if closing {
-		p.Disconnect()
+		p.disconnect()
 	}
 }
 
