Give a slow leader time to reply to reports

Cause: an agent gave up each report after 0.6 s and sent it again, with all runs and ends. A leader that took 0.8 s for a reply renewed no lease: all batch work on its workers lapsed, and each agent sent a whole report every 0.65 s.

Change: the timeout is twice the time of the last reply, doubled after a report without a reply, at most 2 s, half of the default lease.

--- a/internal/worker/lwrunner/fake_test.go
+++ b/internal/worker/lwrunner/fake_test.go
@@ -173,14 +173,28 @@
 type fakeLeader struct {
 	mu          sync.Mutex
 	unavailable bool
+	replyTime   time.Duration
 	token       lwdispatch.Token
 	lease       time.Duration
 	cursor      int64
 	reports     []lwdispatch.Report
 	receivedAt  []time.Time
+
+	reportsGivenUp int // reports whose reply came too late
 }
 
-func (l *fakeLeader) Report(_ context.Context, m lwdispatch.Report) (lwlink.ReportReply, error) {
+func (l *fakeLeader) Report(ctx context.Context, m lwdispatch.Report) (lwlink.ReportReply, error) {
+	l.mu.Lock()
+	replyTime := l.replyTime
+	l.mu.Unlock()
+	select {
+	case <-time.After(replyTime):
+	case <-ctx.Done():
+		l.mu.Lock()
+		l.reportsGivenUp++
+		l.mu.Unlock()
+		return lwlink.ReportReply{}, &lwfault.Fault{Kind: lwfault.Timeout, Cause: ctx.Err()}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.unavailable {
--- a/internal/worker/lwrunner/report.go
+++ b/internal/worker/lwrunner/report.go
@@ -71,11 +71,12 @@
 	}
 	m, newest := r.buildReport()
 	sentAt := r.clock.Now()
+	call, cancel := context.WithTimeout(ctx, r.reportTimeout)
 	r.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	res, err := r.leader.Report(call, m)
 	cancel()
 	reportsSent.Add(1)
+	r.adjustReportTimeout(r.clock.Now()-sentAt, err)
 	if err != nil {
 		reportsFailed.Add(1)
 		r.decisions.Info("report_unanswered", zap.String("worker", string(m.Info.Incarnation.Worker)), zap.Error(err))
@@ -89,6 +90,22 @@
 	return true
 }
 
+// adjustReportTimeout sets the timeout of the next report to twice the time of the
+// last reply, or doubles it if there was none in time. A leader with too much to do
+// thus gets the time that it needs, and less to do than if reports were given up and
+// sent again.
+func (r *Runner) adjustReportTimeout(took time.Duration, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		r.reportTimeout = 2 * took
+	case lwfault.KindOf(err) == lwfault.Timeout:
+		r.reportTimeout *= 2
+	}
+	r.reportTimeout = min(max(r.reportTimeout, minReportTimeout), maxReportTimeout)
+}
+
 // buildReport returns the report that is due; newest is the number of the
 // highest end that the leader has once it receives the report. The caller holds
 // mu.
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -18,7 +18,8 @@
 const (
 	reportInterval            = 400 * time.Millisecond // between full reports; a tenth of the default lease
 	fastReportInterval        = 150 * time.Millisecond // between full reports while the leader asks for fast reports, to control tail latency
-	reportTimeout             = 600 * time.Millisecond // for the leader's reply; several round trips
+	minReportTimeout          = 600 * time.Millisecond // for the leader's reply; several round trips
+	maxReportTimeout          = 2 * time.Second        // leaves half of the default lease when the reply arrives
 	reportRetryPause          = 50 * time.Millisecond  // after a report without a reply
 	workerCallTimeout         = 300 * time.Millisecond // for the worker's answer; it is on the same machine
 	maxPollWait               = 500 * time.Millisecond // for an end; short, because it also delays the next acknowledgement
@@ -81,6 +82,7 @@
 	stopAnsweredAt   map[runKey]time.Duration // when the worker answered the stop of a run; kept until lists requested later show how the run ended or that it never began
 	fullReportDue    bool                     // the next report must list all runs and ends
 	fastReports      bool                     // the leader asked for reports at fastReportInterval
+	reportTimeout    time.Duration            // for the reply to the next report
 }
 
 // New returns a runner for the agent with the given name.
@@ -88,6 +90,7 @@
 	r := &Runner{
 		name: name, worker: w, leader: l, log: log, decisions: lwlog.NewRateLimitedLogger(log, decisionLinesPerSecond), clock: lwclock.New(),
 		reportDue: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxParallelOrders), replaced: make(map[lwjob.WorkerIncarnation]bool),
+		reportTimeout: minReportTimeout,
 	}
 	r.resetIncarnation()
 	return r
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -270,3 +270,25 @@
 		})
 	})
 }
+
+// A leader with too much to do takes 0.8 s for each reply. The worker must keep its
+// lease, and the agent must not add to the load by giving up each report.
+func TestSlowLeaderRenewsLease(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		l.mu.Lock()
+		l.replyTime = 800 * time.Millisecond
+		l.mu.Unlock()
+		for range 10 {
+			time.Sleep(time.Second)
+			r.mu.Lock()
+			left := r.leaseDeadline - r.clock.Now()
+			r.mu.Unlock()
+			if left <= testLease/2 {
+				t.Errorf("%s of the lease are left", left)
+			}
+		}
+		if l.reportsGivenUp > 1 {
+			t.Errorf("%d reports were given up", l.reportsGivenUp)
+		}
+	})
+}
