Drain a worker that drains when a new leader first hears of it

Cause: the leader drained a worker when its reports changed to draining. A new leader whose first report of a worker said so already never did: runs that could not end in time were cut off when the worker left, without a checkpoint.

Change: the worker is drained once its lists are current, since only then its runs are known.

Measured: TestNewLeaderDrainsDrainingWorker, which failed before.

--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -62,6 +62,9 @@
 	if !w.listsCurrent {
 		w.listsCurrent = true
 		delete(c.missing, w.info.Incarnation)
+		if w.info.Draining {
+			c.drainWorker(w)
+		}
 	}
 	c.controlInterference(w)
 }
