Repeat CPU limits to an agent that has reconnected

Cause: an order that throttles a filling run was sent once. An agent that was cut off meanwhile never carried it out, and the leader counted on it: the run went on at its full share beside a serving task over its target.

Change: limits below the full share are ordered again after a reconnection, as starts and stops are.

Measured: TestCPULimitIsRepeatedAfterReconnection, which failed before.

--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -274,7 +274,7 @@
 
 // report passes an agent's report to the core and returns the grant. The first
 // report over a connection makes the core resend the starts and stops that no
-// report has confirmed. It does not resend CPU limits.
+// report has confirmed, and the CPU limits.
 func (n *Node) report(_ context.Context, r *replica, s *lwrpc.Session, m lwdispatch.Report) (lwlink.ReportReply, error) {
 	reportsReceived.Add(1)
 	d := n.dispatcher
--- a/internal/control/lwdispatch/handover_test.go
+++ b/internal/control/lwdispatch/handover_test.go
@@ -37,3 +37,30 @@
 		t.Errorf("stops of %v were ordered, want one of long.0.0.0", stops)
 	}
 }
+
+// An agent that was cut off from the leader may have missed the order that throttles
+// a filling run. The order must be repeated once the agent has reconnected, since the
+// leader counts on it.
+func TestCPULimitIsRepeatedAfterReconnection(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 8))
+	serving := tasks(1, 2, 0)
+	serving.LongRunning, serving.TailTarget = true, f.queue.TargetLatency
+	filling := tasks(1, 4, 30*time.Second)
+	filling.Filling = true
+	f.submit("serve", serving)
+	f.startAll("w1")
+	f.submit("fill", filling)
+	f.startAll("w1")
+	f.lists["w1"][0].Gauge = 240 // of a target of 250 ms
+	f.advance(time.Second)
+	f.report("w1")
+	missed := ordered[LimitRunCPU](f, "w1")
+	f.takeStarts("w1")
+	f.core.AgentReconnected(f.infos["w1"].Incarnation)
+	f.step()
+	repeated := ordered[LimitRunCPU](f, "w1")
+	if len(missed) != 1 || len(repeated) != 1 || repeated[0] != missed[0] {
+		t.Errorf("ordered %v, then %v after the reconnection; want the same order once each", missed, repeated)
+	}
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -205,8 +205,8 @@
 	return list
 }
 
-// AgentReconnected orders the starts and stops again that an agent may have missed
-// before it reconnected.
+// AgentReconnected orders the starts, stops and CPU limits again that an agent may
+// have missed before it reconnected.
 func (c *Core) AgentReconnected(incarnation lwjob.WorkerIncarnation) {
 	w := c.workers[incarnation]
 	if w == nil {
@@ -214,6 +214,9 @@
 	}
 	for _, r := range w.sortedRuns() {
 		c.resend(r)
+		if r.phase != runStopping && r.cpuPercent < fullPercent {
+			c.sendOrder(w, LimitRunCPU{r.task.name, r.id, r.cpuPercent})
+		}
 	}
 }
 
