Measure overcommitment only once a raised CPU share shows

Cause: the time since a run was throttled was taken for the time since its CPU share was set. A run raised to its full share was measured at once, by the CPU use of its throttled time, and the worker counted as overcommitted.

Change: the time since the share was set counts.

Measured: TestOvercommitIgnoresRunThatWasJustRaised: the limit fell from 1000 to 0 millicores before, and stays now.

--- a/internal/control/lwdispatch/cpushare.go
+++ b/internal/control/lwdispatch/cpushare.go
@@ -220,7 +220,7 @@
 			continue
 		}
 		used += float64(r.status.Gauge)
-		if c.now-r.orderedAt >= settleTime && r.cpuPercent == fullPercent && c.now-r.throttledAt >= settleTime {
+		if c.now-r.orderedAt >= settleTime && r.cpuPercent == fullPercent && c.now-r.cpuPercentSetAt >= settleTime {
 			share := float64(r.status.Gauge) / max(1, float64(r.task.step.spec.Need.Millicores))
 			r.task.step.maxCPURatio = max(r.task.step.maxCPURatio, share)
 			best = max(best, share/r.task.step.maxCPURatio)
--- a/internal/control/lwdispatch/handover_test.go
+++ b/internal/control/lwdispatch/handover_test.go
@@ -64,3 +64,38 @@
 		t.Errorf("ordered %v, then %v after the reconnection; want the same order once each", missed, repeated)
 	}
 }
+
+// A run whose throttling has just ended still shows the CPU use of its throttled
+// time. It must not count as slowed by other runs, which would keep filling work off
+// the worker.
+func TestOvercommitIgnoresRunThatWasJustRaised(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 8))
+	serving := tasks(1, 4, 0)
+	serving.LongRunning = true
+	f.submit("serve", serving)
+	f.startAll("w1")
+	filling := tasks(1, 4, time.Minute)
+	filling.Filling = true
+	f.submit("fill", filling)
+	f.startAll("w1")
+	const fill = 1 // index of the filling run in the list of the worker
+	report := func(millicores int) {
+		f.lists["w1"][fill].Gauge = millicores
+		f.advance(time.Second)
+		f.report("w1")
+	}
+	report(4000)
+	w := f.core.workers[f.infos["w1"].Incarnation]
+	r := w.runs[runKey{"fill.0.0.0", 1}]
+	f.core.setCPUPercent(r, 50, "test")
+	report(2000)
+	before := w.overcommitLimit()
+	f.core.setCPUPercent(r, fullPercent, "test")
+	f.lists["w1"][fill].Gauge = 2100 // measured over the last half second
+	f.advance(100 * time.Millisecond)
+	f.report("w1")
+	if after := w.overcommitLimit(); after < before {
+		t.Errorf("the limit fell from %.0f to %.0f millicores", before, after)
+	}
+}
