Place long-running tasks on the rack of their data

Cause: the cost of a worker off the preferred rack was added before the cost is turned round for long-running tasks, which are packed, so that they preferred any other rack.

Change: it is added after that.

Measured: TestLongRunningTaskPrefersItsRack, which failed before.

--- a/internal/control/lwdispatch/handover_test.go
+++ b/internal/control/lwdispatch/handover_test.go
@@ -99,3 +99,19 @@
 		t.Errorf("the limit fell from %.0f to %.0f millicores", before, after)
 	}
 }
+
+// Long-running tasks, which are packed, prefer the rack of their data too.
+func TestLongRunningTaskPrefersItsRack(t *testing.T) {
+	f := newFixture(t)
+	for id, rack := range map[string]string{"w1": "r1", "w2": "r2", "w3": "r3"} {
+		info := workerInfo(id, 8)
+		info.Labels = []string{rack}
+		f.join(info)
+	}
+	s := tasks(1, 1, 0)
+	s.LongRunning, s.PreferredRack = true, "r2"
+	f.submit("serve", s)
+	expectStarts(t, f.takeStarts("w2"), "serve.0.0.0/1")
+	expectStarts(t, f.takeStarts("w1"))
+	expectStarts(t, f.takeStarts("w3"))
+}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -245,9 +245,6 @@
 	load := float64(w.reserved.Millicores+w.fillingDeclared) / capacity
 	memory := float64(w.reserved.Memory) / max(1, float64(w.info.Capacity.Memory))
 	cost := max(load, memory)
-	if s.spec.PreferredRack != "" && !slices.Contains(w.info.Labels, string(s.spec.PreferredRack)) {
-		cost += c.cfg.OffRackSlowdown
-	}
 	switch {
 	case s.spec.LongRunning:
 		// Long-running tasks are packed together with tasks of the same image, so
@@ -261,6 +258,9 @@
 			cost += lastResortCost
 		}
 	}
+	if s.spec.PreferredRack != "" && !slices.Contains(w.info.Labels, string(s.spec.PreferredRack)) {
+		cost += c.cfg.OffRackSlowdown
+	}
 	if w.info.WarmupTimeLeft > 0 {
 		cost++
 	}
