Repeat a CPU limit that the worker did not answer

Cause: the agent called the worker once for each limit; a call without an answer left the run at its old share, and the leader counted on the new one.

Change: up to three calls, unless a newer limit was ordered for the run.

Measured: TestUnansweredCPULimitIsRepeated, which failed before. The race detector also found a test that changed its fake worker without the lock.

--- a/internal/worker/lwrunner/fake_test.go
+++ b/internal/worker/lwrunner/fake_test.go
@@ -31,7 +31,9 @@
 	delayed          []func()        // the delayed starts
 	noCapacity       map[string]bool // tasks that are refused with RefusedNoCapacity
 	unresponsive     bool
-	exited           bool // its process has ended
+	exited           bool  // its process has ended
+	lostLimitAnswers int   // CPU limits whose answer is lost
+	limits           []int // CPU limits that arrived, in percent
 }
 
 func newFakeWorker() *fakeWorker {
@@ -113,7 +115,16 @@
 	}
 }
 
-func (w *fakeWorker) LimitCPU(context.Context, Call, lwdispatch.LimitRunCPU) error { return nil }
+func (w *fakeWorker) LimitCPU(_ context.Context, _ Call, o lwdispatch.LimitRunCPU) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits = append(w.limits, o.CPUPercent)
+	if w.lostLimitAnswers > 0 {
+		w.lostLimitAnswers--
+		return errNoAnswer
+	}
+	return nil
+}
 
 func (w *fakeWorker) Poll(ctx context.Context, c Call, until LeaseEnd, cursor int64, wait time.Duration) (RunLists, error) {
 	w.mu.Lock()
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -110,19 +110,13 @@
 
 const (
 	fullCPUPercent   = 100 // of its declared processors, with which a worker begins a run
-	cpuLimitAttempts = 3   // to limit a run that has just begun
+	cpuLimitAttempts = 3   // to limit a run; after them the worker counts as not answering
 )
 
 // limitCPUAtStart limits a run that must not begin with its full CPU share.
 func (r *Runner) limitCPUAtStart(ctx context.Context, c Call, o lwdispatch.StartRun) {
-	if o.CPUPercent <= 0 || o.CPUPercent >= fullCPUPercent {
-		return
-	}
-	for range cpuLimitAttempts {
-		if r.limitCPU(ctx, c, lwdispatch.LimitRunCPU{Task: o.Task, Run: o.Run, CPUPercent: o.CPUPercent}) {
-			return
-		}
-		sleep(ctx, orderRetryPause)
+	if o.CPUPercent > 0 && o.CPUPercent < fullCPUPercent {
+		r.limitCPU(ctx, c, lwdispatch.LimitRunCPU{Task: o.Task, Run: o.Run, CPUPercent: o.CPUPercent})
 	}
 }
 
@@ -228,15 +222,35 @@
 	}
 }
 
-// limitCPU limits a run to a percentage of its declared processors. It makes
-// one call and returns false if that fails.
-func (r *Runner) limitCPU(ctx context.Context, c Call, o lwdispatch.LimitRunCPU) (done bool) {
-	if !r.isCurrent(c) {
-		return true // the order is obsolete: it belongs to an earlier leader or incarnation
-	}
-	if err := r.callWorker(ctx, func(call context.Context) error { return r.worker.LimitCPU(call, c, o) }); err != nil {
+// limitCPU limits a run to a percentage of its declared processors. It repeats a
+// call without an answer, unless a newer limit was ordered for the run.
+func (r *Runner) limitCPU(ctx context.Context, c Call, o lwdispatch.LimitRunCPU) {
+	key := runKey{o.Task, o.Run}
+	r.mu.Lock()
+	r.limitOrders++
+	order := r.limitOrders
+	r.newestLimit[key] = order
+	r.mu.Unlock()
+	for range cpuLimitAttempts {
+		if !r.isCurrent(c) || !r.isNewestLimit(key, order) {
+			return
+		}
+		err := r.callWorker(ctx, func(call context.Context) error { return r.worker.LimitCPU(call, c, o) })
+		if err == nil {
+			break
+		}
 		r.decisions.Info("pace_unconfirmed", zap.String("task", string(o.Task)), zap.Int("percent", o.CPUPercent), zap.Error(err))
-		return false
+		sleep(ctx, orderRetryPause)
 	}
-	return true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.newestLimit[key] == order {
+		delete(r.newestLimit, key)
+	}
+}
+
+func (r *Runner) isNewestLimit(key runKey, order int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.newestLimit[key] == order
 }
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -80,6 +80,8 @@
 	starting         map[runKey]bool          // runs with a start in progress
 	stopping         map[runKey]bool          // runs with a stop in progress
 	stopAnsweredAt   map[runKey]time.Duration // when the worker answered the stop of a run; kept until lists requested later show how the run ended or that it never began
+	limitOrders      int64                    // CPU limits ordered so far
+	newestLimit      map[runKey]int64         // limitOrders at the newest CPU limit of a run, while it is carried out
 	fullReportDue    bool                     // the next report must list all runs and ends
 	fastReports      bool                     // the leader asked for reports at fastReportInterval
 	reportTimeout    time.Duration            // for the reply to the next report
@@ -105,6 +107,7 @@
 	r.refusals = nil
 	r.starting = make(map[runKey]bool)
 	r.stopping = make(map[runKey]bool)
+	r.newestLimit = make(map[runKey]int64)
 	r.stopAnsweredAt = make(map[runKey]time.Duration)
 }
 
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -97,7 +98,9 @@
 			w.noCapacity["j.0.0.0"] = true
 			sendOrders(t.Context(), r, testToken, startOrder("j.0.0.0", 1))
 			time.Sleep(time.Second)
+			w.mu.Lock()
 			w.noCapacity["j.0.0.0"] = false
+			w.mu.Unlock()
 			w.runDelayedStarts()
 			expectStarts(t, w, "j.0.0.0", 0)
 			expectRefusals(t, l, "j.0.0.0", lwdispatch.RefusedStopped)
@@ -292,3 +295,49 @@
 		}
 	})
 }
+
+// The leader counts on each CPU limit, so one without an answer is repeated until a
+// newer one takes its place.
+func TestUnansweredCPULimitIsRepeated(t *testing.T) {
+	limit := func(percent int) lwdispatch.LimitRunCPU {
+		return lwdispatch.LimitRunCPU{Task: "j.0.0.0", Run: 1, CPUPercent: percent}
+	}
+	expectLimits := func(t *testing.T, w *fakeWorker, want ...int) {
+		t.Helper()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !slices.Equal(w.limits, want) {
+			t.Errorf("limits %v arrived, want %v", w.limits, want)
+		}
+	}
+	t.Run("after a lost answer", func(t *testing.T) {
+		withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+			w.lostLimitAnswers = 1
+			sendOrders(t.Context(), r, testToken, limit(40))
+			time.Sleep(time.Second)
+			expectLimits(t, w, 40, 40)
+		})
+	})
+	t.Run("not once a newer limit was ordered", func(t *testing.T) {
+		withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+			w.lostLimitAnswers = 1
+			sendOrders(t.Context(), r, testToken, limit(40))
+			time.Sleep(orderRetryPause / 2)
+			sendOrders(t.Context(), r, testToken, limit(100))
+			time.Sleep(time.Second)
+			expectLimits(t, w, 40, 100)
+		})
+	})
+	t.Run("not for ever", func(t *testing.T) {
+		withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+			w.lostLimitAnswers = 100
+			sendOrders(t.Context(), r, testToken, limit(40))
+			time.Sleep(10 * time.Second)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if n := len(w.limits); n > 2*cpuLimitAttempts {
+				t.Errorf("%d attempts", n)
+			}
+		})
+	})
+}
