Tell the platform until when a lease lasts, by its own clock

Cause: the agent of the product's own platform interface sent leases as a time from their arrival. A start or renewal that was carried out late, or sent by an agent that had been suspended, extended the lease beyond the end that control counts on, so that the task could run in two places.

Change: the platform tells its clock with each list, and starts and renewals name the end on that clock besides the time that is left (header Platform-Clock, field until; both may be absent, so old agents and platforms go on together). The agent's own clock counts suspended time. A renewal shortens no lease.

Measured: TestLateCallsDoNotExtendLease; without the end, both late calls let the task run on after its lease. The provider's path is not touched.

--- a/internal/worker/lwagent/agent.go
+++ b/internal/worker/lwagent/agent.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwclock"
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
@@ -67,6 +68,7 @@
 	runs     *lwrun.Table
 	backends *backendTable
 	syncDue  chan struct{}
+	clock    lwclock.Clock
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
@@ -82,7 +84,11 @@
 	reported         map[lwplatform.Attempt]lwstate.TaskEvent // last event that control has received
 	started          map[lwplatform.Attempt]bool              // started by this agent
 	cpuPercent       map[lwplatform.Attempt]int               // limits that this agent has ordered
-	usageAt          time.Time                                // when usage was last requested from the platform
+
+	platformClock       lwplatform.Clock // as told with the last list; 0 if the platform tells none
+	platformClockReadAt time.Duration    // on clock, when that list had arrived
+
+	usageAt time.Time // when usage was last requested from the platform
 }
 
 // Start starts an agent. It serves entries and backend servers at the gate
@@ -90,7 +96,7 @@
 func Start(cfg Config, e *lwrpc.Endpoint, client *lwlink.Client, log *zap.Logger) (*Agent, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
-		cfg: cfg, log: log, client: client, runs: lwrun.NewTable(), syncDue: make(chan struct{}, 1), cancel: cancel,
+		cfg: cfg, log: log, client: client, runs: lwrun.NewTable(), syncDue: make(chan struct{}, 1), cancel: cancel, clock: lwclock.New(),
 		policy: make(map[lwunit.ServiceName]lwticket.ServiceSpec), reported: make(map[lwplatform.Attempt]lwstate.TaskEvent),
 		started: make(map[lwplatform.Attempt]bool), cpuPercent: make(map[lwplatform.Attempt]int),
 	}
--- /dev/null
+++ b/internal/worker/lwagent/lease_test.go
@@ -0,0 +1,116 @@
+package lwagent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwclock"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/worker/lwplatform"
+	"lavenderweir.example/lavenderweir/internal/worker/lwstandin"
+)
+
+// latePlatform carries out starts and renewals only when the test says so, as after
+// a call without an answer.
+type latePlatform struct {
+	*lwstandin.Worker
+	delayed []func()
+}
+
+func (p *latePlatform) Start(ctx context.Context, r lwplatform.StartRequest) error {
+	p.delayed = append(p.delayed, func() { _ = p.Worker.Start(ctx, r) })
+	return nil
+}
+
+func (p *latePlatform) Renew(ctx context.Context, l lwplatform.Lease, attempts []lwplatform.Attempt) error {
+	p.delayed = append(p.delayed, func() { _ = p.Worker.Renew(ctx, l, attempts) })
+	return nil
+}
+
+func (p *latePlatform) carryOut() {
+	for _, f := range p.delayed {
+		f()
+	}
+	p.delayed = nil
+}
+
+const grantedLease = 10 * time.Second
+
+// withLatePlatform runs f with an agent that has listed the attempts of its platform
+// and been granted a lease until end, and with the assignment of one long task.
+func withLatePlatform(t *testing.T, f func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := &latePlatform{Worker: lwstandin.NewWorker()}
+		a := &Agent{cfg: Config{Platform: p}, log: zap.NewNop(), clock: lwclock.New(), started: make(map[lwplatform.Attempt]bool)}
+		time.Sleep(time.Minute) // the clocks do not begin at zero
+		if _, err := a.list(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		task := lwlink.Assignment{Task: "j/0", Token: 1, Program: "etch:1h", Reserve: lwunit.Resources{Millicores: 1000}}
+		f(t, a, p, task, a.clock.Now()+grantedLease)
+	})
+}
+
+// expectEndedBy checks that nothing runs at a time on the agent's clock.
+func expectEndedBy(t *testing.T, a *Agent, p *latePlatform, end time.Duration) {
+	t.Helper()
+	time.Sleep(end - a.clock.Now() + 2*time.Millisecond) // the platform's clock counts milliseconds
+	if running := p.Running(); len(running) > 0 {
+		t.Errorf("%v runs after its lease has ended", running)
+	}
+}
+
+// Control counts a lease from when the agent asked for it and places the task
+// elsewhere once it has ended. A call that the platform carries out late must not
+// extend it.
+func TestLateCallsDoNotExtendLease(t *testing.T) {
+	t.Run("start", func(t *testing.T) {
+		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
+			if _, err := a.start(t.Context(), startTask{task}, end); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(grantedLease / 2)
+			p.carryOut()
+			expectEndedBy(t, a, p, end)
+		})
+	})
+	t.Run("renewal", func(t *testing.T) {
+		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
+			if _, err := a.start(t.Context(), startTask{task}, end); err != nil {
+				t.Fatal(err)
+			}
+			p.carryOut()
+			a.assigned = []lwlink.Assignment{task}
+			a.renewLeases(t.Context(), end)
+			time.Sleep(grantedLease / 2)
+			p.carryOut()
+			expectEndedBy(t, a, p, end)
+		})
+	})
+	t.Run("a renewal that arrives after a later one does not shorten it", func(t *testing.T) {
+		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
+			if _, err := a.start(t.Context(), startTask{task}, end); err != nil {
+				t.Fatal(err)
+			}
+			p.carryOut()
+			a.assigned = []lwlink.Assignment{task}
+			a.renewLeases(t.Context(), end)
+			late := p.delayed
+			p.delayed = nil
+			a.renewLeases(t.Context(), end+grantedLease)
+			p.delayed = append(p.delayed, late...)
+			p.carryOut()
+			time.Sleep(end - a.clock.Now() + time.Second)
+			if len(p.Running()) != 1 {
+				t.Error("the task has ended with its first lease")
+			}
+			expectEndedBy(t, a, p, end+grantedLease)
+		})
+	})
+}
--- a/internal/worker/lwagent/sync.go
+++ b/internal/worker/lwagent/sync.go
@@ -82,7 +82,7 @@
 	m := lwlink.Sync{Worker: a.cfg.Worker.ID, Incarnation: a.cfg.Incarnation, KnownRevision: a.assignedRevision, Signals: a.backends.takeSignals()}
 	m.Reports = dueReports(a.assigned, actual, a.reported, a.started)
 	m.Usage = a.dueUsage(ctx)
-	sentAt := time.Now()
+	sentAt := a.clock.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	res, err := a.client.Sync(call, m)
 	cancel()
@@ -101,18 +101,33 @@
 		a.assigned, a.assignedRevision = res.Assignments, res.Revision
 		a.pruneAttempts()
 	}
-	remaining := res.Lease.Std() - time.Since(sentAt)
-	if remaining > minLeaseLeft {
-		a.renewLeases(ctx, remaining)
-		return a.applyReply(ctx, actual, sentAt, res)
+	leaseEnd := sentAt + res.Lease.Std()
+	if leaseEnd-a.clock.Now() <= minLeaseLeft {
+		return false
 	}
-	return false
+	a.renewLeases(ctx, leaseEnd)
+	return a.applyReply(ctx, actual, leaseEnd, res)
 }
 
 func (a *Agent) list(ctx context.Context) ([]lwplatform.AttemptStatus, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return a.cfg.Platform.List(call)
+	l, err := a.cfg.Platform.List(call)
+	if err == nil {
+		a.platformClock, a.platformClockReadAt = l.Clock, a.clock.Now()
+	}
+	return l.Attempts, err
+}
+
+// leaseUntil returns the lease that ends at a time on the agent's clock, at the
+// platform too: also if the call that carries it is delayed, or if this VM is
+// suspended meanwhile.
+func (a *Agent) leaseUntil(end time.Duration) lwplatform.Lease {
+	l := lwplatform.Lease{Left: lwunit.Duration(end - a.clock.Now())}
+	if a.platformClock != 0 {
+		l.Until = a.platformClock.Add(end - a.platformClockReadAt)
+	}
+	return l
 }
 
 // dueUsage returns the platform's usage measurements once per usageInterval.
@@ -174,10 +189,10 @@
 	}
 }
 
-// renewLeases extends the leases of the assigned attempts at the platform. A
-// lease counts from when the sync was sent, so it ends on the worker no later
-// than control assumes.
-func (a *Agent) renewLeases(ctx context.Context, remaining time.Duration) {
+// renewLeases extends the leases of the assigned attempts at the platform to a time
+// on the agent's clock. A lease counts from when the sync was sent, so it ends on the
+// worker no later than control assumes.
+func (a *Agent) renewLeases(ctx context.Context, end time.Duration) {
 	attempts := make([]lwplatform.Attempt, 0, len(a.assigned))
 	for _, t := range a.assigned {
 		attempts = append(attempts, lwplatform.Attempt{Task: t.Task, Token: t.Token})
@@ -187,18 +202,18 @@
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := a.cfg.Platform.Renew(call, remaining, attempts); err != nil {
+	if err := a.cfg.Platform.Renew(call, a.leaseUntil(end), attempts); err != nil {
 		a.log.Debug("renewal of the leases at the platform failed", zap.Error(err))
 	}
 }
 
 // applyReply carries out the actions that follow from control's reply. It
 // returns true if a task's state changed, which is reported at once.
-func (a *Agent) applyReply(ctx context.Context, actual []lwplatform.AttemptStatus, sentAt time.Time, res lwlink.SyncReply) (again bool) {
+func (a *Agent) applyReply(ctx context.Context, actual []lwplatform.AttemptStatus, leaseEnd time.Duration, res lwlink.SyncReply) (again bool) {
 	acts := reconcile(a.cfg.Worker.Capacity, a.assigned, actual, a.started)
 	acts = append(acts, a.throttleActions(res.Throttles)...)
 	for _, act := range acts {
-		if a.perform(ctx, act, sentAt, res.Lease) {
+		if a.perform(ctx, act, leaseEnd) {
 			again = true
 		}
 	}
@@ -229,7 +244,7 @@
 }
 
 // perform carries out an action. It returns true if that changed a task's state.
-func (a *Agent) perform(ctx context.Context, act action, sentAt time.Time, lease lwunit.Duration) bool {
+func (a *Agent) perform(ctx context.Context, act action, leaseEnd time.Duration) bool {
 	call, cancel := context.WithTimeout(ctx, longCallTimeout)
 	defer cancel()
 	p := a.cfg.Platform
@@ -237,7 +252,7 @@
 	changed := false
 	switch act := act.(type) {
 	case startTask:
-		changed, err = a.start(call, act, sentAt, lease)
+		changed, err = a.start(call, act, leaseEnd)
 	case evictTask:
 		// The task is stopped even if the checkpoint fails: it resumes from the
 		// previous one.
@@ -263,15 +278,14 @@
 }
 
 // start starts an attempt with the remaining time of the lease.
-func (a *Agent) start(ctx context.Context, act startTask, sentAt time.Time, lease lwunit.Duration) (bool, error) {
-	remaining := lease.Std() - time.Since(sentAt)
-	if remaining < minLeaseLeft {
+func (a *Agent) start(ctx context.Context, act startTask, leaseEnd time.Duration) (bool, error) {
+	if leaseEnd-a.clock.Now() < minLeaseLeft {
 		return false, nil
 	}
 	attempt := lwplatform.Attempt{Task: act.assignment.Task, Token: act.assignment.Token}
 	err := a.cfg.Platform.Start(ctx, lwplatform.StartRequest{
-		Attempt: attempt, Program: act.assignment.Program, Reserve: act.assignment.Reserve,
-		Checkpoint: act.assignment.Checkpoint, Lease: lwunit.Duration(remaining),
+		Attempt: attempt, Lease: a.leaseUntil(leaseEnd), Program: act.assignment.Program, Reserve: act.assignment.Reserve,
+		Checkpoint: act.assignment.Checkpoint,
 	})
 	if err == nil {
 		a.started[attempt] = true
--- a/internal/worker/lwplatform/platform.go
+++ b/internal/worker/lwplatform/platform.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -46,13 +47,38 @@
 	Reserve    lwunit.Resources `json:"reserve"`
 }
 
+// Clock is a reading of the platform's steady clock in milliseconds, from an origin
+// of its own. Zero means that the platform tells no clock.
+type Clock int64
+
+// Add returns the reading after d.
+func (c Clock) Add(d time.Duration) Clock { return c + Clock(d.Milliseconds()) }
+
+// ClockHeader is the header in which the platform tells its clock with a list.
+const ClockHeader = "Platform-Clock"
+
+// Listing holds the attempts that Forget has not removed. Clock was read before the
+// platform answered.
+type Listing struct {
+	Clock    Clock
+	Attempts []AttemptStatus
+}
+
+// Lease is the time for which attempts may run: until Left after the platform has
+// received it, and no longer than Until. Without Until, a call that is carried out
+// late extends the lease beyond its end.
+type Lease struct {
+	Left  lwunit.Duration `json:"lease"`
+	Until Clock           `json:"until,omitempty"`
+}
+
 // StartRequest is the body of PathStart. It starts an attempt under a lease.
 type StartRequest struct {
 	Attempt
+	Lease
 	Program    string           `json:"program"`
 	Reserve    lwunit.Resources `json:"reserve"`
 	Checkpoint string           `json:"checkpoint,omitempty"`
-	Lease      lwunit.Duration  `json:"lease"`
 }
 
 // Usage is the measured resource usage of a task; Age is the age of the
@@ -66,9 +92,9 @@
 // Platform runs tasks on one worker. Start is idempotent for the same token; it
 // returns a Fenced fault for a token lower than one it has received for the task.
 type Platform interface {
-	List(ctx context.Context) ([]AttemptStatus, error)
+	List(ctx context.Context) (Listing, error)
 	Start(ctx context.Context, r StartRequest) error
-	Renew(ctx context.Context, lease time.Duration, attempts []Attempt) error
+	Renew(ctx context.Context, lease Lease, attempts []Attempt) error
 	Checkpoint(ctx context.Context, a Attempt) (string, error)
 	Throttle(ctx context.Context, a Attempt, percent int) error
 	Stop(ctx context.Context, a Attempt) error
@@ -90,8 +116,8 @@
 
 // RenewRequest is the body of PathRenew.
 type RenewRequest struct {
-	Lease    lwunit.Duration `json:"lease"`
-	Attempts []Attempt       `json:"attempts"`
+	Lease
+	Attempts []Attempt `json:"attempts"`
 }
 
 // ThrottleRequest is the body of PathThrottle.
@@ -117,36 +143,52 @@
 }
 
 func (c *Client) call(ctx context.Context, path string, in, out any) error {
+	_, err := c.callForHeader(ctx, path, in, out)
+	return err
+}
+
+// callForHeader makes a call and returns the header of the answer.
+func (c *Client) callForHeader(ctx context.Context, path string, in, out any) (http.Header, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
-		return fmt.Errorf("encode request to %s: %w", path, err)
+		return nil, fmt.Errorf("encode request to %s: %w", path, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+path, bytes.NewReader(body))
 	if err != nil {
-		return fmt.Errorf("create request to %s: %w", path, err)
+		return nil, fmt.Errorf("create request to %s: %w", path, err)
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "platform " + path, Cause: err}
+		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "platform " + path, Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("platform %s: %w", path, lwhttp.ReadProblem(res))
+		return nil, fmt.Errorf("platform %s: %w", path, lwhttp.ReadProblem(res))
 	}
 	if out == nil {
-		return nil
+		return res.Header, nil
 	}
 	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
-		return fmt.Errorf("decode answer of %s: %w", path, err)
+		return nil, fmt.Errorf("decode answer of %s: %w", path, err)
 	}
-	return nil
+	return res.Header, nil
 }
 
-// List returns the status of every attempt that Forget has not removed.
-func (c *Client) List(ctx context.Context) ([]AttemptStatus, error) {
-	var list []AttemptStatus
-	err := c.call(ctx, PathList, struct{}{}, &list)
-	return list, err
+// List returns the attempts that Forget has not removed.
+func (c *Client) List(ctx context.Context) (Listing, error) {
+	var l Listing
+	header, err := c.callForHeader(ctx, PathList, struct{}{}, &l.Attempts)
+	if err != nil {
+		return Listing{}, err
+	}
+	if text := header.Get(ClockHeader); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return Listing{}, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "header " + ClockHeader, Cause: err}
+		}
+		l.Clock = Clock(ms)
+	}
+	return l, nil
 }
 
 // Start starts an attempt.
@@ -154,9 +196,9 @@
 	return c.call(ctx, PathStart, r, nil)
 }
 
-// Renew extends the leases of attempts to end after the given time from now.
-func (c *Client) Renew(ctx context.Context, lease time.Duration, attempts []Attempt) error {
-	return c.call(ctx, PathRenew, RenewRequest{lwunit.Duration(lease), attempts}, nil)
+// Renew extends the leases of attempts.
+func (c *Client) Renew(ctx context.Context, lease Lease, attempts []Attempt) error {
+	return c.call(ctx, PathRenew, RenewRequest{lease, attempts}, nil)
 }
 
 // Checkpoint saves a running attempt's progress and returns the checkpoint's name.
--- a/internal/worker/lwstandin/server.go
+++ b/internal/worker/lwstandin/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
@@ -13,13 +14,13 @@
 // Handler returns a handler that serves the platform's HTTP interface.
 func (w *Worker) Handler() http.Handler {
 	mux := http.NewServeMux()
-	handle(mux, lwplatform.PathList, func(ctx context.Context, _ struct{}) (any, error) { return w.List(ctx) })
+	mux.HandleFunc(lwplatform.PathList, w.serveList)
 	handle(mux, lwplatform.PathUsage, func(ctx context.Context, _ struct{}) (any, error) { return w.Usage(ctx) })
 	handle(mux, lwplatform.PathStart, func(ctx context.Context, r lwplatform.StartRequest) (any, error) {
 		return struct{}{}, w.Start(ctx, r)
 	})
 	handle(mux, lwplatform.PathRenew, func(ctx context.Context, r lwplatform.RenewRequest) (any, error) {
-		return struct{}{}, w.Renew(ctx, r.Lease.Std(), r.Attempts)
+		return struct{}{}, w.Renew(ctx, r.Lease, r.Attempts)
 	})
 	handle(mux, lwplatform.PathCheckpoint, func(ctx context.Context, a lwplatform.Attempt) (any, error) {
 		name, err := w.Checkpoint(ctx, a)
@@ -37,6 +38,16 @@
 	return mux
 }
 
+func (w *Worker) serveList(rw http.ResponseWriter, r *http.Request) {
+	l, err := w.List(r.Context())
+	if err != nil {
+		lwhttp.WriteProblem(rw, err)
+		return
+	}
+	rw.Header().Set(lwplatform.ClockHeader, strconv.FormatInt(int64(l.Clock), 10))
+	lwhttp.WriteJSON(rw, http.StatusOK, l.Attempts)
+}
+
 func handle[In any](mux *http.ServeMux, path string, f func(context.Context, In) (any, error)) {
 	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 		var in In
--- a/internal/worker/lwstandin/worker.go
+++ b/internal/worker/lwstandin/worker.go
@@ -30,6 +30,7 @@
 // name begins with "fail" fails at its end. A checkpoint is the work done so far,
 // as a duration.
 type Worker struct {
+	bootedAt     time.Time // origin of its clock
 	mu           sync.Mutex
 	tasks        map[lwunit.TaskID]*attempt
 	highestToken map[lwunit.TaskID]lwunit.FencingToken
@@ -51,7 +52,7 @@
 // NewWorker returns a worker that runs nothing.
 func NewWorker() *Worker {
 	return &Worker{
-		tasks: make(map[lwunit.TaskID]*attempt), highestToken: make(map[lwunit.TaskID]lwunit.FencingToken),
+		bootedAt: time.Now(), tasks: make(map[lwunit.TaskID]*attempt), highestToken: make(map[lwunit.TaskID]lwunit.FencingToken),
 		starts: make(map[lwunit.TaskID]int),
 	}
 }
@@ -160,8 +161,28 @@
 	a.status.State, a.status.Reason = state, reason
 }
 
-// List returns the status of every attempt that Forget has not removed.
-func (w *Worker) List(context.Context) ([]lwplatform.AttemptStatus, error) {
+// clockOrigin is the reading of a worker's clock when it is made; readings are never
+// zero, which means that there is no clock.
+const clockOrigin lwplatform.Clock = 1000
+
+// clock returns the reading of the worker's clock at a time.
+func (w *Worker) clock(at time.Time) lwplatform.Clock { return clockOrigin.Add(at.Sub(w.bootedAt)) }
+
+// leaseEnd returns when a lease that was received now ends.
+func (w *Worker) leaseEnd(now time.Time, l lwplatform.Lease) time.Time {
+	end := now.Add(l.Left.Std())
+	if l.Until == 0 {
+		return end
+	}
+	until := now.Add(time.Duration(l.Until-w.clock(now)) * time.Millisecond)
+	if until.Before(end) {
+		return until
+	}
+	return end
+}
+
+// List returns the attempts that Forget has not removed.
+func (w *Worker) List(context.Context) (lwplatform.Listing, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.updateStates()
@@ -170,7 +191,7 @@
 		list = append(list, a.status)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Task < list[j].Task })
-	return list, nil
+	return lwplatform.Listing{Clock: w.clock(time.Now()), Attempts: list}, nil
 }
 
 // Start starts an attempt. It returns a fault if the token is lower than that of
@@ -194,7 +215,7 @@
 	now := time.Now()
 	a := &attempt{
 		status:  lwplatform.AttemptStatus{Attempt: r.Attempt, State: lwplatform.StateRunning, Reserve: r.Reserve, Checkpoint: r.Checkpoint},
-		program: r.Program, totalWork: parseWorkTime(r.Program), doneWorkAt: now, cpuPercent: fullCPUPercent, leaseExpiresAt: now.Add(r.Lease.Std()),
+		program: r.Program, totalWork: parseWorkTime(r.Program), doneWorkAt: now, cpuPercent: fullCPUPercent, leaseExpiresAt: w.leaseEnd(now, r.Lease),
 	}
 	if r.Checkpoint != "" {
 		doneWork, err := time.ParseDuration(r.Checkpoint)
@@ -234,13 +255,16 @@
 	return a, nil
 }
 
-// Renew extends the leases of running attempts and ignores the others.
-func (w *Worker) Renew(_ context.Context, lease time.Duration, attempts []lwplatform.Attempt) error {
+// Renew extends the leases of running attempts and ignores the others. It shortens
+// none, since an earlier renewal may arrive late.
+func (w *Worker) Renew(_ context.Context, lease lwplatform.Lease, attempts []lwplatform.Attempt) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, at := range attempts {
 		if a, err := w.findAttempt(at); err == nil && a.status.State == lwplatform.StateRunning {
-			a.leaseExpiresAt = time.Now().Add(lease)
+			if end := w.leaseEnd(time.Now(), lease); end.After(a.leaseExpiresAt) {
+				a.leaseExpiresAt = end
+			}
 		}
 	}
 	return nil
