Probe a suspect worker again after a cancelled probe

Cause: a probe that was stopped or cancelled counted as under way for ever, so that the worker took no task any more.

Change: the probe is forgotten once its task no longer holds resources on the worker.

Measured: TestProbeIsRepeatedAfterItWasCancelled, which failed before.

--- a/internal/control/lwplacement/health.go
+++ b/internal/control/lwplacement/health.go
@@ -23,7 +23,7 @@
 	probeAt    time.Duration
 	probeDelay time.Duration // before the probe at probeAt
 	probing    bool          // takes one task as a probe
-	probeTasks int           // tasks placed while probing
+	probeTask  lwunit.TaskID // the task placed as a probe, or ""
 }
 
 // jobOutcomes says on which workers attempts of a job failed, and whether any
@@ -67,7 +67,7 @@
 	if !o.Failed {
 		j.succeeded = true
 		w.failedJobs = make(map[lwunit.JobID]bool)
-		w.suspect, w.probing, w.probeDelay, w.probeTasks = false, false, 0, 0
+		w.suspect, w.probing, w.probeDelay, w.probeTask = false, false, 0, ""
 		return
 	}
 	j.failedOn[o.Worker] = true
@@ -79,7 +79,7 @@
 
 // markSuspect keeps tasks off a worker until its next probe.
 func (h *health) markSuspect(now time.Duration, w *workerHealth) {
-	w.suspect, w.probing, w.probeTasks = true, false, 0
+	w.suspect, w.probing, w.probeTask = true, false, ""
 	w.probeDelay = min(max(h.cfg.FirstProbeDelay, 2*w.probeDelay), h.cfg.MaxProbeDelay)
 	w.probeAt = now + w.probeDelay
 }
@@ -112,6 +112,7 @@
 			wh = c.health.worker(id)
 			c.health.markSuspect(r.now, wh)
 		}
+		wh.dropEndedProbe(r.state, id)
 		switch {
 		case !wh.suspect && !wh.probing && c.health.countedFailures(id) >= c.cfg.SuspectFailures:
 			c.health.markSuspect(r.now, wh)
@@ -120,7 +121,7 @@
 		case wh.suspect && w.Suspect == "":
 			r.suspects = append(r.suspects, lwstate.SuspectWorker{Worker: id, Reason: "a probe failed here"})
 		case wh.suspect && r.now >= wh.probeAt:
-			wh.suspect, wh.probing, wh.probeTasks = false, true, 0
+			wh.suspect, wh.probing, wh.probeTask = false, true, ""
 			r.suspects = append(r.suspects, lwstate.SuspectWorker{Worker: id})
 		}
 	}
@@ -130,12 +131,20 @@
 // takes a single one.
 func (h *health) accepts(id lwunit.WorkerID) bool {
 	wh := h.workers[id]
-	return wh == nil || (!wh.suspect && (!wh.probing || wh.probeTasks == 0))
+	return wh == nil || (!wh.suspect && (!wh.probing || wh.probeTask == ""))
 }
 
-// observePlacement counts the tasks placed as a probe.
-func (h *health) observePlacement(id lwunit.WorkerID) {
+// observePlacement records a task that is placed as a probe.
+func (h *health) observePlacement(id lwunit.WorkerID, t lwunit.TaskID) {
 	if wh := h.workers[id]; wh != nil && wh.probing {
-		wh.probeTasks++
+		wh.probeTask = t
+	}
+}
+
+// dropEndedProbe lets another task probe a worker if the last one was stopped or
+// cancelled, or its placement was refused: that says nothing about the worker.
+func (w *workerHealth) dropEndedProbe(s *lwstate.State, id lwunit.WorkerID) {
+	if t, ok := s.Task(w.probeTask); !ok || t.Worker != id || !t.Phase.HoldsResources() {
+		w.probeTask = ""
 	}
 }
--- a/internal/control/lwplacement/start.go
+++ b/internal/control/lwplacement/start.go
@@ -66,7 +66,7 @@
 		}
 		r.placements = append(r.placements, lwstate.Placement{Task: t.ID, Worker: w, Reserve: reserve})
 		r.placed[t.ID] = true
-		c.health.observePlacement(w)
+		c.health.observePlacement(w, t.ID)
 		delete(c.blockedSince, j.Spec.ID)
 		delete(c.reservations, j.Spec.ID)
 		q.used = q.used.Add(reserve)
--- /dev/null
+++ b/internal/control/lwplacement/start_test.go
@@ -0,0 +1,45 @@
+package lwplacement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+)
+
+// makeSuspect lets a task of each of three jobs fail on a fixture's only worker.
+func (f *fixture) makeSuspect(is *is.I) {
+	is.Helper()
+	for _, id := range []string{"f0", "f1", "f2"} {
+		f.submit(is, id, "t", lwstate.ClassBatch, 1, 1)
+		f.decide()
+		f.report(id, lwstate.TaskPlaced, lwstate.EventFailed)
+		f.apply(lwstate.CancelJob{Job: lwunit.JobID(id)})
+	}
+	f.decide()
+	w, _ := f.s.Worker("w0")
+	is.True(w.Suspect != "")
+}
+
+// A probe that ends neither well nor badly says nothing about the worker, which must
+// then be probed by another task.
+func TestProbeIsRepeatedAfterItWasCancelled(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, "t")
+	f.makeSuspect(is)
+	f.now += time.Minute
+	f.submit(is, "probe", "t", lwstate.ClassBatch, 1, 1)
+	f.decide()
+	f.decide()
+	is.Equal(f.holding("probe"), 1)
+	f.apply(lwstate.CancelJob{Job: "probe"})
+	f.report("probe", lwstate.TaskStopping, lwstate.EventStopped)
+	is.Equal(f.holding("probe"), 0)
+	f.submit(is, "next", "t", lwstate.ClassBatch, 2, 1)
+	f.decide()
+	f.decide()
+	is.Equal(f.holding("next"), 1) // one task: the next probe
+}
