Spread the tasks of one round over the failure domains

Cause: the count of a job's tasks by failure domain was made once a round and did not include the placements of that round, so that all tasks of a new job could go to one domain.

Change: each placement counts at once, and the cost of the cheapest worker is computed again before it is chosen.

Measured: TestTasksOfOneRoundSpreadOverDomains: 6 of 6 tasks in one domain before, 2 in each of three now.

--- a/internal/control/lwplacement/round.go
+++ b/internal/control/lwplacement/round.go
@@ -84,8 +84,8 @@
 	return cmds
 }
 
-// tasksPerDomain counts the tasks of a job that hold resources by failure domain.
-// It counts once a round, without the placements that the round decides.
+// tasksPerDomain counts the tasks of a job that hold resources by failure domain,
+// those included that the round has placed.
 func (r *round) tasksPerDomain(job lwunit.JobID) map[lwunit.FailureDomain]int {
 	if m, ok := r.domainCounts[job]; ok {
 		return m
--- a/internal/control/lwplacement/start.go
+++ b/internal/control/lwplacement/start.go
@@ -66,6 +66,9 @@
 		}
 		r.placements = append(r.placements, lwstate.Placement{Task: t.ID, Worker: w, Reserve: reserve})
 		r.placed[t.ID] = true
+		if placed, ok := r.state.Worker(w); ok {
+			r.tasksPerDomain(j.Spec.ID)[placed.Spec.Domain]++
+		}
 		c.health.observePlacement(w, t.ID)
 		delete(c.blockedSince, j.Spec.ID)
 		delete(c.reservations, j.Spec.ID)
@@ -177,8 +180,9 @@
 	return c.cfg.ToleratedLateShare * weight * math.Exp2(float64(waited)/float64(c.cfg.ToleranceDoubling))
 }
 
-// take returns the cheapest worker that still has room, and takes the room. The
-// worker's cost is computed again for the next task, as it has less room.
+// take returns the cheapest worker that still has room, and takes the room. A task
+// raises the cost of its worker and of others in its failure domain, so the cost of
+// the cheapest worker is computed again before it is chosen.
 func (cs *candidates) take(r *round, reserve lwunit.Resources) (lwunit.WorkerID, bool) {
 	for len(cs.heap) > 0 {
 		w := cs.heap[0].worker
@@ -186,9 +190,12 @@
 			heap.Pop(&cs.heap)
 			continue
 		}
+		if cost := cs.core.cost(r, cs.job, reserve, w); cost > cs.heap[0].cost {
+			cs.heap[0].cost = cost
+			heap.Fix(&cs.heap, 0)
+			continue
+		}
 		r.take(w.Spec.ID, reserve)
-		cs.heap[0].cost = cs.core.cost(r, cs.job, reserve, w)
-		heap.Fix(&cs.heap, 0)
 		return w.Spec.ID, true
 	}
 	return "", false
--- a/internal/control/lwplacement/start_test.go
+++ b/internal/control/lwplacement/start_test.go
@@ -43,3 +43,21 @@
 	f.decide()
 	is.Equal(f.holding("next"), 1) // one task: the next probe
 }
+
+// Tasks that are placed in one round spread over the failure domains too.
+func TestTasksOfOneRoundSpreadOverDomains(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(9, "t") // three workers in each of three domains
+	f.submit(is, "proofs", "t", lwstate.ClassLatencyCritical, 6, 1)
+	f.decide()
+	perDomain := make(map[lwunit.FailureDomain]int)
+	for _, task := range f.s.TasksHoldingResources("proofs") {
+		w, _ := f.s.Worker(task.Worker)
+		perDomain[w.Spec.Domain]++
+	}
+	for domain, n := range perDomain {
+		if n != 2 {
+			t.Errorf("%d of 6 tasks are in domain %s, want 2", n, domain)
+		}
+	}
+}
