Do not count the use of a stopped attempt for the next one

Cause: the newest measurement of a task was kept when its attempt was stopped. The next attempt on the worker counted with it until it was measured itself: a task that was evicted for its memory was evicted again and again.

Change: a measurement belongs to one attempt.

Measured: TestUseOfStoppedAttemptDoesNotCount, which failed before (the next attempt was stopped at once).

--- a/internal/control/lwplacement/size.go
+++ b/internal/control/lwplacement/size.go
@@ -32,12 +32,29 @@
 // sizeModel estimates the resource use of the attempts of each team's program.
 type sizeModel struct {
 	programs     map[TeamProgram]*programStats
-	latestUsage  map[lwunit.TaskID]lwunit.Resources // of each task; kept after a stop, until the task is measured again or an attempt succeeds or fails
-	memoryGrowth map[lwunit.TaskID]lwunit.Bytes     // between the last two measurements; never negative
+	latestUsage  map[lwunit.TaskID]measuredUse
+	memoryGrowth map[lwunit.TaskID]lwunit.Bytes // between the last two measurements; never negative
+}
+
+// measuredUse is the newest measurement of a task, and the attempt that it is of. The
+// next attempt of the task starts without it.
+type measuredUse struct {
+	token lwunit.FencingToken
+	used  lwunit.Resources
+}
+
+// ofAttempt returns the newest measurement of a task's present attempt, if there is
+// one.
+func (m *sizeModel) ofAttempt(t lwstate.Task) (lwunit.Resources, bool) {
+	u, ok := m.latestUsage[t.ID]
+	if !ok || u.token != t.Token {
+		return lwunit.Resources{}, false
+	}
+	return u.used, true
 }
 
 func newSizeModel() sizeModel {
-	return sizeModel{programs: make(map[TeamProgram]*programStats), latestUsage: make(map[lwunit.TaskID]lwunit.Resources), memoryGrowth: make(map[lwunit.TaskID]lwunit.Bytes)}
+	return sizeModel{programs: make(map[TeamProgram]*programStats), latestUsage: make(map[lwunit.TaskID]measuredUse), memoryGrowth: make(map[lwunit.TaskID]lwunit.Bytes)}
 }
 
 // observeUsage learns from one measurement.
@@ -51,10 +68,12 @@
 	if !ok {
 		return
 	}
-	if before, known := c.sizes.latestUsage[o.Task]; known {
-		c.sizes.memoryGrowth[o.Task] = max(0, o.Used.Memory-before.Memory)
+	before, known := c.sizes.ofAttempt(t)
+	if !known {
+		before = o.Used
 	}
-	c.sizes.latestUsage[o.Task] = o.Used
+	c.sizes.memoryGrowth[o.Task] = max(0, o.Used.Memory-before.Memory)
+	c.sizes.latestUsage[o.Task] = measuredUse{t.Token, o.Used}
 	stats := c.sizes.programs[teamProgramOf(j)]
 	if stats == nil {
 		stats = &programStats{}
@@ -150,9 +169,12 @@
 	var worst lwstate.Task
 	var excess lwunit.Bytes
 	for _, t := range r.state.TasksOnWorker(w.Spec.ID) {
-		used, ok := c.sizes.latestUsage[t.ID]
-		// Assumes that the task grows as much again until the next measurement.
-		memory += max(t.Reserve.Memory, used.Memory+c.sizes.memoryGrowth[t.ID])
+		used, ok := c.sizes.ofAttempt(t)
+		growth := lwunit.Bytes(0)
+		if ok {
+			growth = c.sizes.memoryGrowth[t.ID] // assumed to be the same until the next measurement
+		}
+		memory += max(t.Reserve.Memory, used.Memory+growth)
 		if !ok || t.Phase == lwstate.TaskStopping {
 			continue
 		}
--- a/internal/control/lwplacement/start_test.go
+++ b/internal/control/lwplacement/start_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 )
 
@@ -61,3 +62,30 @@
 		}
 	}
 }
+
+// The memory that an attempt used before it was stopped does not count for the next
+// attempt, which would be stopped for it at once.
+func TestUseOfStoppedAttemptDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, "t")
+	f.submit(is, "a", "t", lwstate.ClassBatch, 1, 1)
+	f.decide()
+	f.report("a", lwstate.TaskPlaced, lwstate.EventRunning)
+	observe := func(memory lwunit.Bytes) {
+		f.now += 2 * time.Second
+		task := f.s.TasksHoldingResources("a")[0]
+		f.core.Observe(f.now, f.s, lwplacement.UsageSample{Task: task.ID, Used: lwunit.Resources{Millicores: 1000, Memory: memory}})
+		f.decide()
+	}
+	observe(8 * lwunit.GiB)
+	observe(16 * lwunit.GiB)
+	is.Equal(f.s.TasksHoldingResources("a")[0].Phase, lwstate.TaskStopping) // it uses all memory
+	f.report("a", lwstate.TaskStopping, lwstate.EventStopped)
+	f.decide()
+	f.report("a", lwstate.TaskPlaced, lwstate.EventRunning)
+	for range 5 {
+		f.now += 2 * time.Second
+		f.decide()
+		is.Equal(f.s.TasksHoldingResources("a")[0].Phase, lwstate.TaskRunning)
+	}
+}
