Reserve another worker when a reserved one takes no tasks

Cause: a worker that was kept free for a large job stayed reserved when it was lost, drained or suspect, and as many workers may be reserved as MaxReservedWorkers says; so none was kept free in its place.

Change: such a reservation is dropped, and the next round makes another.

Measured: TestReservationMovesFromDrainedWorker, which failed before.

--- a/internal/control/lwplacement/core.go
+++ b/internal/control/lwplacement/core.go
@@ -209,8 +209,9 @@
 	return nil
 }
 
-// dropStale drops the records of jobs that no longer wait, and earmarks that
-// have expired or whose job no longer waits.
+// dropStale drops the records of jobs that no longer wait, reservations of workers
+// that take no tasks any more, and earmarks that have expired or whose job no longer
+// waits.
 func (c *Core) dropStale(now time.Duration, s *lwstate.State) {
 	for id := range c.blockedSince {
 		if !s.HasQueuedTasks(id) {
@@ -218,6 +219,11 @@
 			delete(c.reservations, id)
 		}
 	}
+	for id, reserved := range c.reservations {
+		if w, ok := s.Worker(reserved.worker); !ok || !acceptsTasks(&w) {
+			delete(c.reservations, id)
+		}
+	}
 	for w, mark := range c.earmarks {
 		if now > mark.until || !s.HasQueuedTasks(mark.job) {
 			delete(c.earmarks, w)
--- a/internal/control/lwplacement/start_test.go
+++ b/internal/control/lwplacement/start_test.go
@@ -89,3 +89,33 @@
 		is.Equal(f.s.TasksHoldingResources("a")[0].Phase, lwstate.TaskRunning)
 	}
 }
+
+// A worker that is kept free for a large job is no use to it once it drains. Another
+// must be kept free then.
+func TestReservationMovesFromDrainedWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, "t")
+	f.submit(is, "filler", "t", lwstate.ClassBatch, 2, 5)
+	f.decide()
+	f.report("filler", lwstate.TaskPlaced, lwstate.EventRunning)
+	f.submit(is, "big", "t", lwstate.ClassBatch, 1, 8)
+	for range 6 * time.Minute / tick {
+		f.decide()
+	}
+	f.submit(is, "small", "t", lwstate.ClassBatch, 1, 1)
+	f.decide()
+	small := f.s.TasksHoldingResources("small")
+	is.Equal(len(small), 1)
+	other := small[0].Worker // the other worker is kept free
+	kept := worker(0)
+	if other == kept {
+		kept = worker(1)
+	}
+	f.apply(lwstate.DrainWorker{Worker: kept, Drain: true})
+	for range 10 {
+		f.decide()
+	}
+	f.submit(is, "later", "t", lwstate.ClassBatch, 1, 1)
+	f.decide()
+	is.Equal(f.holding("later"), 0) // the only worker that is left is kept free for the large job
+}
