Name the failure domain in the reason of a job that can never run

Cause: the reason of a job that is bound to a failure domain named the largest amounts on workers of all domains, which may well hold the job.

Change: it names the domain, and the amounts there.

Measured: TestReasonOfJobBoundToDomain, which failed before.

--- a/internal/control/lwplacement/round.go
+++ b/internal/control/lwplacement/round.go
@@ -18,15 +18,14 @@
 	deployment   lwticket.DeploymentSpec
 	domainCounts map[lwunit.JobID]map[lwunit.FailureDomain]int // filled by tasksPerDomain
 
-	rejects         []lwstate.Command
-	suspects        []lwstate.Command
-	resizes         []lwstate.Resize
-	placements      []lwstate.Placement
-	stops           []lwunit.TaskID
-	stopping        map[lwunit.TaskID]bool
-	placed          map[lwunit.TaskID]bool
-	largestCapacity lwunit.Resources // the largest amount of each resource on one worker
-	largestFree     lwunit.Resources // the largest free amount of each resource on one worker, when the start stage began
+	rejects     []lwstate.Command
+	suspects    []lwstate.Command
+	resizes     []lwstate.Resize
+	placements  []lwstate.Placement
+	stops       []lwunit.TaskID
+	stopping    map[lwunit.TaskID]bool
+	placed      map[lwunit.TaskID]bool
+	largestFree lwunit.Resources // the largest free amount of each resource on one worker, when the start stage began
 }
 
 func newRound(now time.Duration, s *lwstate.State) *round {
@@ -36,7 +35,6 @@
 	}
 	s.EachWorker(func(w *lwstate.Worker) {
 		r.workers = append(r.workers, w)
-		r.largestCapacity = r.largestCapacity.Max(w.Spec.Capacity)
 	})
 	return r
 }
--- a/internal/control/lwplacement/start.go
+++ b/internal/control/lwplacement/start.go
@@ -104,23 +104,28 @@
 	if len(r.workers) == 0 {
 		return ""
 	}
-	need := j.Spec.Needs
-	fits := false
-	inDomain := j.Spec.Domain == ""
+	need, domain := j.Spec.Needs, j.Spec.Domain
+	var largest lwunit.Resources // the largest amount of each resource on a worker that the job may use
+	inDomain := false
 	for _, w := range r.workers {
-		here := j.Spec.Domain == "" || j.Spec.Domain == string(w.Spec.Domain)
-		inDomain = inDomain || here
-		fits = fits || (here && need.Fits(w.Spec.Capacity))
+		if domain != "" && domain != string(w.Spec.Domain) {
+			continue
+		}
+		if need.Fits(w.Spec.Capacity) {
+			return ""
+		}
+		inDomain = true
+		largest = largest.Max(w.Spec.Capacity)
 	}
-	switch {
-	case fits:
-		return ""
-	case !inDomain:
-		return fmt.Sprintf("no worker is in failure domain %s", j.Spec.Domain)
-	default:
-		return fmt.Sprintf("a task needs %d millicores, %s and %d accelerators; no worker has all of that (the largest amounts are %d, %s and %d)",
-			need.Millicores, need.Memory, need.Accelerators, r.largestCapacity.Millicores, r.largestCapacity.Memory, r.largestCapacity.Accelerators)
+	if !inDomain {
+		return fmt.Sprintf("no worker is in failure domain %s", domain)
+	}
+	where := ""
+	if domain != "" {
+		where = " in failure domain " + domain
 	}
+	return fmt.Sprintf("a task needs %d millicores, %s and %d accelerators; no worker%s has all of that (the largest amounts are %d, %s and %d)",
+		need.Millicores, need.Memory, need.Accelerators, where, largest.Millicores, largest.Memory, largest.Accelerators)
 }
 
 // candidate is a worker and the cost of placing a task there.
--- a/internal/control/lwplacement/start_test.go
+++ b/internal/control/lwplacement/start_test.go
@@ -1,6 +1,7 @@
 package lwplacement_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -119,3 +120,25 @@
 	f.decide()
 	is.Equal(f.holding("later"), 0) // the only worker that is left is kept free for the large job
 }
+
+// The reason why a job can never run speaks of the workers that it may use.
+func TestReasonOfJobBoundToDomain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2, "t") // 8 cores each, in d0 and d1
+	f.apply(lwstate.RegisterWorker{Incarnation: "i", Spec: lwstate.WorkerSpec{
+		ID: "large", Domain: "d2", Capacity: lwunit.Resources{Millicores: 64000, Memory: 64 * lwunit.GiB},
+	}})
+	res := f.apply(lwstate.SubmitJob{Spec: lwstate.JobSpec{
+		ID: "bound", Team: "t", Class: lwstate.ClassBatch, Program: "p", Tasks: 1, MaxFailures: 1, Domain: "d0",
+		Needs: lwunit.Resources{Millicores: 16000, Memory: lwunit.GiB},
+	}})
+	is.NoErr(res.Err)
+	for range 3 * time.Second / tick {
+		f.decide()
+	}
+	j, _ := f.s.Job("bound")
+	is.Equal(j.Phase, lwstate.JobUnrunnable)
+	is.True(strings.Contains(j.Reason, "d0"))
+	is.True(strings.Contains(j.Reason, "8000"))   // the largest amount in its domain
+	is.True(!strings.Contains(j.Reason, "64000")) // not that of another domain
+}
