Say not_run only if no earlier copy can have run

Cause: a request with an idempotency key that was refused before control was asked, for a limit or an unknown token, was answered as not_run though it might be the resend of one that had run; so was one whose key had expired, while no backend server was announced, although its record may be gone. A caller that believes it may send the order under another key, which would run it twice.

Change: such a refusal says unknown. After the retention of the key, a missing record proves nothing.

Idempotent requests are answered as before; a first copy that is refused early now gets unknown, too, as the entry cannot tell.

--- a/internal/entry/lwentry/claim.go
+++ b/internal/entry/lwentry/claim.go
@@ -33,6 +33,7 @@
 	keySeparator      = "-"
 	maxKeyBytes       = 128
 	settleTimeout     = time.Second // limit for asking the agent about a binding
+	clockSkewMargin   = time.Minute // by which this VM's time of day may be behind control's
 )
 
 var (
@@ -85,7 +86,7 @@
 		}
 		if n >= maxBindAttempts || time.Until(q.deadline) < minTimeLeft {
 			cause := &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no backend server accepted the request", RetryAfter: time.Second}
-			writeFault(q.w, cause, e.certainlyNotRun(ctx, bind.Key))
+			writeFault(q.w, cause, e.certainlyNotRun(ctx, bind))
 			return
 		}
 	}
@@ -104,7 +105,7 @@
 func (e *Entry) bindAndSend(ctx context.Context, q *request, bind lwstate.BindClaim) (rebind bool, fault *claimFault) {
 	target, ok := q.service.router.Pick(q.tried)
 	if !ok {
-		return false, &claimFault{&lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no backend server is announced", RetryAfter: time.Second}, e.certainlyNotRun(ctx, bind.Key)}
+		return false, &claimFault{&lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no backend server is announced", RetryAfter: time.Second}, e.certainlyNotRun(ctx, bind)}
 	}
 	q.tried = append(q.tried, target.Backend)
 	bind.Backend = target.Backend
@@ -139,11 +140,19 @@
 	}
 }
 
-// certainlyNotRun asks control whether no copy of the request can have run:
-// there is no claim for its key, or the claim is released.
-func (e *Entry) certainlyNotRun(ctx context.Context, key lwstate.ClaimKey) bool {
-	claim, err := e.fetchClaim(ctx, key)
-	return err == nil && (claim == nil || claim.Phase == lwstate.ClaimReleased)
+// certainlyNotRun asks control whether no copy of the request can have run: there is
+// no claim for its key, or the claim is released. Without a claim that holds only
+// while the retention lasts; after it the claim may have been removed.
+func (e *Entry) certainlyNotRun(ctx context.Context, bind lwstate.BindClaim) bool {
+	claim, err := e.fetchClaim(ctx, bind.Key)
+	if err != nil {
+		return false
+	}
+	if claim == nil {
+		latest := lwunit.Millis(time.Now().Add(clockSkewMargin).UnixMilli())
+		return latest < bind.Created.Add(bind.Retention.Std())
+	}
+	return claim.Phase == lwstate.ClaimReleased
 }
 
 // finishAttempt answers according to the result of the one attempt of a binding
--- a/internal/entry/lwentry/request.go
+++ b/internal/entry/lwentry/request.go
@@ -49,12 +49,11 @@
 	ctx, span := lwtrace.Continue(r.Context(), r.Header, "entry")
 	defer span.End()
 	q, err := e.newRequest(w, r.WithContext(ctx))
-	if err != nil {
-		writeRefusal(w, err)
-		return
+	if err == nil {
+		err = e.admit(q)
 	}
-	if limitErr := e.admit(q); limitErr != nil {
-		writeRefusal(w, limitErr)
+	if err != nil {
+		writeFault(w, err, !mayBeResend(r))
 		return
 	}
 	defer q.release()
@@ -139,6 +138,10 @@
 	}
 }
 
+// mayBeResend reports whether an earlier copy of the request may have run: a request
+// with an idempotency key can be a resend, and only control knows.
+func mayBeResend(r *http.Request) bool { return r.Header.Get(lwheader.IdempotencyKey) != "" }
+
 // nonIdempotent reports whether the request is non-idempotent. Its header
 // decides; without one the service's spec does, but GET and HEAD requests are
 // then idempotent.
