Send a claimed request to the incarnation that its claim is bound to

Cause: the request named the incarnation of the agent in the entry's policy, which may lag behind: the agent then refused the request, or ran it under a claim bound to another incarnation, whose outcome nobody can ask for.

Change: the claim's incarnation is sent.

Measured: TestRequestNamesIncarnationOfItsClaim, which failed before.

--- a/internal/entry/lwentry/claim.go
+++ b/internal/entry/lwentry/claim.go
@@ -121,7 +121,7 @@
 		return e.resolveClaim(ctx, q, out.Claim)
 	}
 	claimsBound.Add(1)
-	a := e.sendTo(ctx, q, target, out.Claim.Token)
+	a := e.sendTo(ctx, q, target, &out.Claim)
 	return e.finishAttempt(ctx, q, out.Claim, a)
 }
 
--- a/internal/entry/lwentry/request.go
+++ b/internal/entry/lwentry/request.go
@@ -14,6 +14,7 @@
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwtrace"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 	"lavenderweir.example/lavenderweir/internal/entry/lwroute"
 	"lavenderweir.example/lavenderweir/internal/net/lwheader"
@@ -171,7 +172,7 @@
 	q.service.budget.AddRequest(q.spec.RetryBudget)
 	notRun := true // no attempt so far can have run
 	for n := 1; ; n++ {
-		a := e.sendToNext(ctx, q, 0)
+		a := e.sendToNext(ctx, q)
 		if a.res != nil && a.err == nil {
 			e.forwardAnswer(q, a)
 			return
@@ -206,22 +207,22 @@
 	}
 }
 
-// sendToNext picks a backend server and sends the request to it. The caller must
-// forward or close a response that comes without an error. A claimToken of 0
-// marks an idempotent request.
-func (e *Entry) sendToNext(ctx context.Context, q *request, claimToken lwunit.FencingToken) attempt {
+// sendToNext picks a backend server and sends an idempotent request to it. The caller
+// must forward or close a response that comes without an error.
+func (e *Entry) sendToNext(ctx context.Context, q *request) attempt {
 	target, ok := q.service.router.Pick(q.tried)
 	if !ok {
 		err := &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no backend server of " + string(q.serviceName) + " is announced", RetryAfter: time.Second}
 		return attempt{err: err, notRun: true}
 	}
 	q.tried = append(q.tried, target.Backend)
-	return e.sendTo(ctx, q, target, claimToken)
+	return e.sendTo(ctx, q, target, nil)
 }
 
-func (e *Entry) sendTo(ctx context.Context, q *request, target lwroute.Target, claimToken lwunit.FencingToken) attempt {
+// sendTo sends the request to a backend server, under a claim unless it is idempotent.
+func (e *Entry) sendTo(ctx context.Context, q *request, target lwroute.Target, claim *lwstate.Claim) attempt {
 	a := attempt{target: target}
-	req, err := e.newAgentRequest(ctx, q, target, claimToken)
+	req, err := e.newAgentRequest(ctx, q, target, claim)
 	if err != nil {
 		a.err, a.notRun = err, true
 		q.service.router.Done(target.Backend, a.report)
@@ -235,8 +236,8 @@
 	return a
 }
 
-func (e *Entry) newAgentRequest(ctx context.Context, q *request, t lwroute.Target, claimToken lwunit.FencingToken) (*http.Request, error) {
-	body := q.bodyReader(claimToken != 0)
+func (e *Entry) newAgentRequest(ctx context.Context, q *request, t lwroute.Target, claim *lwstate.Claim) (*http.Request, error) {
+	body := q.bodyReader(claim != nil)
 	req, err := http.NewRequestWithContext(ctx, q.r.Method, "http://"+t.AgentAddress+lwagent.PathGate+q.path, body)
 	if err != nil {
 		return nil, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "request", Cause: err}
@@ -247,9 +248,9 @@
 	req.Header.Set(lwheader.ClusterKey, e.cfg.ClusterKey)
 	req.Header.Set(lwheader.Backend, string(t.Backend))
 	req.Header.Set(lwheader.TimeLeft, strconv.FormatInt(time.Until(q.deadline).Microseconds(), 10))
-	if claimToken != 0 {
-		req.Header.Set(lwheader.Claim, strconv.FormatUint(uint64(claimToken), 10))
-		req.Header.Set(lwheader.Incarnation, string(t.Incarnation))
+	if claim != nil {
+		req.Header.Set(lwheader.Claim, strconv.FormatUint(uint64(claim.Token), 10))
+		req.Header.Set(lwheader.Incarnation, string(claim.Incarnation))
 	}
 	lwtrace.Inject(ctx, req.Header)
 	req.ContentLength = int64(len(q.body))
