--- a/internal/control/lwplacement/placement_test.go
+++ b/internal/control/lwplacement/placement_test.go
@@ -192,16 +192,7 @@
 	t.Run("a worker on which all jobs fail is suspect until a probe succeeds", func(t *testing.T) {
 		is := is.New(t)
 		f := newFixture(1, "t")
-		for i := range 3 {
-			id := fmt.Sprintf("j%d", i)
-			f.submit(is, id, "t", lwstate.ClassBatch, 1, 1)
-			f.decide()
-			f.report(id, lwstate.TaskPlaced, lwstate.EventFailed)
-			f.apply(lwstate.CancelJob{Job: lwunit.JobID(id)})
-		}
-		f.decide()
-		w, _ := f.s.Worker("w0")
-		is.True(w.Suspect != "")
+		f.makeSuspect(is)
 		f.submit(is, "later", "t", lwstate.ClassBatch, 5, 1)
 		f.decide()
 		is.Equal(f.holding("later"), 0)
--- a/internal/worker/lwagent/lease_test.go
+++ b/internal/worker/lwagent/lease_test.go
@@ -57,6 +57,15 @@
 	})
 }
 
+// order orders the start of a task under a lease until end.
+func order(t *testing.T, a *Agent, task lwlink.Assignment, end time.Duration) {
+	t.Helper()
+	if _, err := a.start(t.Context(), startTask{task}, end); err != nil {
+		t.Fatal(err)
+	}
+	a.assigned = []lwlink.Assignment{task}
+}
+
 // expectEndedBy checks that nothing runs at a time on the agent's clock.
 func expectEndedBy(t *testing.T, a *Agent, p *latePlatform, end time.Duration) {
 	t.Helper()
@@ -72,9 +81,7 @@
 func TestLateCallsDoNotExtendLease(t *testing.T) {
 	t.Run("start", func(t *testing.T) {
 		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
-			if _, err := a.start(t.Context(), startTask{task}, end); err != nil {
-				t.Fatal(err)
-			}
+			order(t, a, task, end)
 			time.Sleep(grantedLease / 2)
 			p.carryOut()
 			expectEndedBy(t, a, p, end)
@@ -82,11 +89,8 @@
 	})
 	t.Run("renewal", func(t *testing.T) {
 		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
-			if _, err := a.start(t.Context(), startTask{task}, end); err != nil {
-				t.Fatal(err)
-			}
+			order(t, a, task, end)
 			p.carryOut()
-			a.assigned = []lwlink.Assignment{task}
 			a.renewLeases(t.Context(), end)
 			time.Sleep(grantedLease / 2)
 			p.carryOut()
@@ -95,11 +99,8 @@
 	})
 	t.Run("a renewal that arrives after a later one does not shorten it", func(t *testing.T) {
 		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
-			if _, err := a.start(t.Context(), startTask{task}, end); err != nil {
-				t.Fatal(err)
-			}
+			order(t, a, task, end)
 			p.carryOut()
-			a.assigned = []lwlink.Assignment{task}
 			a.renewLeases(t.Context(), end)
 			late := p.delayed
 			p.delayed = nil
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -277,7 +277,7 @@
 // A leader with too much to do takes 0.8 s for each reply. The worker must keep its
 // lease, and the agent must not add to the load by giving up each report.
 func TestSlowLeaderRenewsLease(t *testing.T) {
-	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+	withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
 		l.mu.Lock()
 		l.replyTime = 800 * time.Millisecond
 		l.mu.Unlock()
