--- a/internal/control/lwlink/client.go
+++ b/internal/control/lwlink/client.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	attemptTimeout    = 2 * time.Second
+	attemptTimeout    = 2 * time.Second // of the first attempt of a call
 	initialRetryDelay = 50 * time.Millisecond
 	maxRetryDelay     = 500 * time.Millisecond // shorter than an election
 )
