Log what a replica restores and which entry it cannot apply

Sync writes the buffered lines; zap calls it before a fatal line ends the process. TestFatalLineIsWritten printed no line before.

--- a/internal/base/lwlog/log.go
+++ b/internal/base/lwlog/log.go
@@ -4,6 +4,7 @@
 package lwlog
 
 import (
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -17,9 +18,12 @@
 const (
 	maxBufferedLines    = 4096
 	flushInterval       = 250 * time.Millisecond
-	flushThresholdBytes = 32 << 10 // buffer size from which a flush does not wait for the interval
+	flushThresholdBytes = 32 << 10    // buffer size from which a flush does not wait for the interval
+	syncTimeout         = time.Second // how long Sync waits for the output
 )
 
+var errOutputBlocked = errors.New("log output takes no bytes")
+
 var linesDropped = lwmetric.Counter("log_lines_dropped_total")
 
 // Sink writes lines in the background. When its buffer is full it drops lines
@@ -30,13 +34,14 @@
 	buf           []byte
 	bufferedLines int
 	flushNow      chan struct{}
+	syncRequests  chan chan struct{} // of Sync, each closed once the lines are written
 	closing       chan struct{}
 	stopped       chan struct{}
 }
 
 // NewSink returns a sink that writes to out until Close.
 func NewSink(out io.Writer) *Sink {
-	s := &Sink{output: out, flushNow: make(chan struct{}, 1), closing: make(chan struct{}), stopped: make(chan struct{})}
+	s := &Sink{output: out, flushNow: make(chan struct{}, 1), syncRequests: make(chan chan struct{}), closing: make(chan struct{}), stopped: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -60,9 +65,25 @@
 	return len(line), nil
 }
 
-// Sync does nothing, since the background goroutine writes the lines; zap
-// requires it.
-func (s *Sink) Sync() error { return nil }
+// Sync writes the buffered lines. It gives up after syncTimeout if the output is
+// blocked. Zap calls it before a fatal line ends the process.
+func (s *Sink) Sync() error {
+	written := make(chan struct{})
+	timeout := time.After(syncTimeout)
+	select {
+	case s.syncRequests <- written:
+	case <-s.stopped:
+		return nil
+	case <-timeout:
+		return errOutputBlocked
+	}
+	select {
+	case <-written:
+		return nil
+	case <-timeout:
+		return errOutputBlocked
+	}
+}
 
 // Close writes the buffered lines and stops the background goroutine. Lines
 // that are logged later are not written.
@@ -82,6 +103,10 @@
 			return
 		case <-ticker.C:
 		case <-s.flushNow:
+		case written := <-s.syncRequests:
+			s.flush()
+			close(written)
+			continue
 		}
 		s.flush()
 	}
--- a/internal/base/lwlog/log_test.go
+++ b/internal/base/lwlog/log_test.go
@@ -57,6 +57,37 @@
 	})
 }
 
+// A process that ends by a fatal line or a panic must not lose the lines before it.
+func TestFatalLineIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &buffer{}
+		sink := lwlog.NewSink(out)
+		log := lwlog.New(zapcore.InfoLevel, sink).WithOptions(zap.WithFatalHook(zapcore.WriteThenPanic))
+		func() {
+			defer func() { _ = recover() }()
+			log.Info("before")
+			log.Fatal("cannot continue")
+		}()
+		if lines := out.lines(); len(lines) != 2 || lines[0]["msg"] != "before" || lines[1]["msg"] != "cannot continue" {
+			t.Errorf("the log has lines %v when the process ends; want both", lines)
+		}
+		sink.Close()
+	})
+}
+
+func TestSyncDoesNotWaitForBlockedOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &buffer{unblock: make(chan struct{})}
+		sink := lwlog.NewSink(out)
+		lwlog.New(zapcore.InfoLevel, sink).Info("line")
+		if sink.Sync() == nil {
+			t.Error("Sync of a blocked output reported no error")
+		}
+		close(out.unblock)
+		sink.Close()
+	})
+}
+
 func TestLineRateIsLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := &buffer{}
--- a/internal/control/lwcontrol/apply.go
+++ b/internal/control/lwcontrol/apply.go
@@ -1,6 +1,7 @@
 package lwcontrol
 
 import (
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,10 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 )
 
+// maxLoggedCommandBytes limits the part of a command that is logged when it cannot be
+// applied.
+const maxLoggedCommandBytes = 512
+
 // apply applies the snapshot and the committed entries of an output to the
 // state and finishes their waiters.
 func (r *replica) apply(out lwreplica.Output) {
@@ -55,11 +60,7 @@
 			// states diverge.
 			r.log.Fatal("cannot decode committed command", zap.Uint64("index", uint64(e.Index)), zap.Error(err))
 		}
-		res = r.state.Apply(lwunit.Revision(e.Index), at, cmd)
-		if r.onApply != nil {
-			r.onApply(lwunit.Revision(e.Index), cmd)
-		}
-		commandsApplied.Add(1)
+		res = r.applyCommand(e, at, cmd)
 	} else {
 		r.state.SetRevision(lwunit.Revision(e.Index))
 	}
@@ -77,6 +78,28 @@
 	w.finish(nil)
 }
 
+// applyCommand applies the command of an entry. If that panics, it logs the entry
+// first: every replica ends at the same entry, again after each restart.
+func (r *replica) applyCommand(e lwreplica.Entry, at lwunit.Millis, cmd lwstate.Command) lwstate.Result {
+	applied := false
+	defer func() {
+		if applied {
+			return
+		}
+		r.log.Error("cannot apply committed command", zap.Uint64("index", uint64(e.Index)), zap.Uint64("term", uint64(e.Term)),
+			zap.Uint64("snapshot", uint64(r.lastSnapshot)), zap.String("kind", fmt.Sprintf("%T", cmd)),
+			zap.ByteString("data", e.Data[:min(len(e.Data), maxLoggedCommandBytes)]))
+		_ = r.log.Sync() // the process ends
+	}()
+	res := r.state.Apply(lwunit.Revision(e.Index), at, cmd)
+	if r.onApply != nil {
+		r.onApply(lwunit.Revision(e.Index), cmd)
+	}
+	commandsApplied.Add(1)
+	applied = true
+	return res
+}
+
 // snapshotResult is the result of writing a snapshot in the background.
 type snapshotResult struct {
 	snapshot     lwreplica.Snapshot
@@ -135,4 +158,5 @@
 	}
 	r.core.Step(r.now(), lwreplica.Compact{Snapshot: res.snapshot})
 	snapshotsTaken.Add(1)
+	r.log.Info("snapshot written", zap.Uint64("index", uint64(res.snapshot.Index)), zap.Int("bytes", len(res.snapshot.Data)))
 }
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -140,6 +140,8 @@
 		snapshotDone: make(chan snapshotResult, 1),
 	}
 	r.core = lwreplica.New(cfg, c.State, 0)
+	log.Info("state restored", zap.Uint64("snapshot", uint64(r.lastSnapshot)), zap.Uint64("last", uint64(r.core.LastIndex())),
+		zap.Uint64("term", uint64(r.core.Term())), zap.Int("jobs", state.Queues().Len()))
 	r.publish()
 	return r, nil
 }
--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -173,6 +173,9 @@
 // Job returns the record of a job, or nil.
 func (t *Table) Job(id lwunit.JobID) *Job { return t.contents.Jobs[id] }
 
+// Len returns the number of jobs, ended ones included.
+func (t *Table) Len() int { return len(t.contents.Jobs) }
+
 // EachJob calls f with every job.
 func (t *Table) EachJob(f func(*Job)) {
 	for _, j := range t.contents.Jobs {
