--- a/internal/control/lwstate/state_test.go
+++ b/internal/control/lwstate/state_test.go
@@ -386,17 +386,7 @@
 		}
 		r.checkJob(t, j)
 	}
-	hash, err := r.d.s.Hash()
-	if err != nil {
-		t.Fatal(err)
-	}
-	replicaHash, err := r.d.replica.Hash()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if hash != replicaHash {
-		t.Fatal("the state of a replica restored from a snapshot differs")
-	}
+	expectEqualReplica(t, r.d)
 }
 
 func (r *randomTest) checkJob(t *rapid.T, j lwstate.Job) {
