Let a restored job take its first record

What callers saw: after a loss of power the control group never came back. All replicas ended at the same log entry after each restart, so no job was accepted, no task started and two long-running tasks that had been accepted did not run again (LOST).

Cause: a job is accepted with an empty map of task records, and the encoding leaves an empty map out. The entry is committed, so the panic repeats at each start.

--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -202,7 +202,7 @@
 		return false
 	}
 	j.State = Queued
-	j.Tasks = make(map[TaskKey]*TaskRecord)
+	j.Tasks = nil
 	for _, st := range j.Spec.Steps {
 		j.TasksLeft += st.Count * j.Spec.Occurrences()
 	}
@@ -268,6 +268,9 @@
 
 // taskRecord returns the record of a task, created if there is none.
 func (j *Job) taskRecord(key TaskKey) *TaskRecord {
+	if j.Tasks == nil { // nothing is recorded yet; a snapshot leaves the map out
+		j.Tasks = make(map[TaskKey]*TaskRecord)
+	}
 	r := j.Tasks[key]
 	if r == nil {
 		r = &TaskRecord{}
