--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -30,6 +30,8 @@
 	ToleratedLosses int        `json:"tolerate"`         // number of VMs with a disk that may be lost at the same time
 	DataFolder      string     `json:"folder,omitempty"` // data folder, on the VM's disk; without one, control runs no replica
 
+	SnapshotSize lwunit.Bytes `json:"snapshot_size,omitempty"` // as Replica.SnapshotSize
+
 	CallersAddress   string `json:"callers_address,omitempty"`
 	ReadinessAddress string `json:"readiness_address,omitempty"`
 	ControlAddress   string `json:"control_address,omitempty"`  // serves operators, or the worker beside an agent
@@ -103,6 +105,8 @@
 		return "rpc_port", "hosted.rpc_port must be a port number from 1 to 65535"
 	case h.ToleratedLosses < 0:
 		return "tolerate", "hosted.tolerate must not be negative"
+	case h.SnapshotSize < 0:
+		return "snapshot_size", "hosted.snapshot_size must not be negative"
 	case len(h.Seeds) == 0:
 		return "seeds", "hosted.seeds must name a VM that runs control"
 	case h.Bounds.MaxLease <= 0:
--- a/internal/base/lwsetting/setting.go
+++ b/internal/base/lwsetting/setting.go
@@ -78,6 +78,9 @@
 // Replica holds the settings of the control role.
 type Replica struct {
 	Folder string `json:"folder"` // data folder, on the VM's disk
+	// SnapshotSize is the size of the log entries from which they are replaced by a
+	// snapshot; 0 is the default.
+	SnapshotSize lwunit.Bytes `json:"snapshot_size,omitempty"`
 }
 
 // FileError is a mistake in a settings file.
@@ -296,6 +299,9 @@
 	if s.Replica != nil && s.Replica.Folder == "" {
 		return "folder", "control.folder is required"
 	}
+	if s.Replica != nil && s.Replica.SnapshotSize < 0 {
+		return "snapshot_size", "control.snapshot_size must not be negative"
+	}
 	if s.Replica != nil && s.RPCAddress == "" {
 		return "rpc_address", "rpc_address is required for control"
 	}
--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -75,7 +75,7 @@
 			advisor = platform.NewAdviceClient(h.AdviceAddress)
 		}
 		n.control, err = lwcontrol.Start(lwcontrol.Config{
-			Name: n.settings.Name, Address: h.RPCAddress(), Domain: n.settings.FailureDomain, Folder: h.DataFolder,
+			Name: n.settings.Name, Address: h.RPCAddress(), Domain: n.settings.FailureDomain, Folder: h.DataFolder, SnapshotSize: h.SnapshotSize,
 			Seeds: h.ControlAddresses(), JoinOnly: !h.Bootstrap, Voters: h.Voters(), Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(),
 			Dispatch: dispatchConfig(h.Bounds), Advisor: advisor, Seed: rand.Uint64(),
 		}, n.endpoint, n.log)
--- a/internal/control/lwcontrol/apply.go
+++ b/internal/control/lwcontrol/apply.go
@@ -51,7 +51,7 @@
 		return
 	}
 	r.applied = e.Index
-	r.bytesSinceSnapshot += len(e.Data)
+	r.bytesSinceSnapshot += lwunit.Bytes(len(e.Data))
 	var res lwstate.Result
 	if e.Kind == lwreplica.EntryCommand {
 		cmd, at, err := lwstate.DecodeCommand(e.Data)
@@ -146,7 +146,7 @@
 func (r *replica) finishSnapshot(res snapshotResult) {
 	r.snapshotting = false
 	if lwwal.IsNoSpace(res.err) {
-		r.bytesSinceSnapshot = max(r.bytesSinceSnapshot, snapshotBytes) // makes the next attempt due by size
+		r.bytesSinceSnapshot = max(r.bytesSinceSnapshot, r.snapshotSize) // makes the next attempt due by size
 		r.postponeSnapshot(res.err)
 		return
 	}
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -43,18 +43,21 @@
 
 // Config configures a control node.
 type Config struct {
-	Name      string               // of the process
-	Address   string               // RPC address that other replicas use
-	Domain    lwunit.FailureDomain // in which the process runs
-	Folder    string               // data folder
-	Seeds     []string             // RPC addresses of control processes to ask at the start; without Voters, of all first members
-	Lease     lwlease.Config
-	Placement lwplacement.Config
-	Dispatch  lwdispatch.Config
-	Advisor   Advisor // nil if no queue asks the advice service
-	JoinOnly  bool    // the group exists already, so this node never bootstraps one
-	Voters    int     // in the group; 0 makes all of Seeds voters
-	Seed      uint64  // of the random numbers for elections, together with the start time
+	Name    string               // of the process
+	Address string               // RPC address that other replicas use
+	Domain  lwunit.FailureDomain // in which the process runs
+	Folder  string               // data folder
+	// SnapshotSize is the size of the applied log entries from which a snapshot is
+	// written; 0 is defaultSnapshotSize.
+	SnapshotSize lwunit.Bytes
+	Seeds        []string // RPC addresses of control processes to ask at the start; without Voters, of all first members
+	Lease        lwlease.Config
+	Placement    lwplacement.Config
+	Dispatch     lwdispatch.Config
+	Advisor      Advisor // nil if no queue asks the advice service
+	JoinOnly     bool    // the group exists already, so this node never bootstraps one
+	Voters       int     // in the group; 0 makes all of Seeds voters
+	Seed         uint64  // of the random numbers for elections, together with the start time
 }
 
 // Node is one control replica in this process.
@@ -216,6 +219,9 @@
 	n.mu.Lock()
 	n.replica = r
 	n.mu.Unlock()
+	if n.cfg.SnapshotSize > 0 {
+		r.snapshotSize = n.cfg.SnapshotSize
+	}
 	r.onApply = n.dispatcher.onApplied
 	go n.leader.run(ctx, r)
 	go n.dispatcher.run(ctx, r)
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -28,7 +28,7 @@
 	eventQueueLength      = 8192
 	maxEventBatch         = 2048
 	snapshotEntries       = 20000           // entries applied since the last snapshot, from which the next one is due
-	snapshotBytes         = 4 << 20         // size of such entries from which the next snapshot is due; bounds the log that a new replica is sent after the snapshot
+	defaultSnapshotSize   = 4 * lwunit.MiB  // size of such entries from which the next snapshot is due; bounds the log that a new replica is sent after the snapshot
 	snapshotRetryDelay    = 5 * time.Second // after a full disk prevented one
 	commandTimeout        = 5 * time.Second
 	diskCheckInterval     = time.Second
@@ -71,16 +71,18 @@
 
 // replica drives one lwreplica.Core.
 type replica struct {
-	log       *zap.Logger
-	wal       *lwwal.Log
-	endpoint  *lwrpc.Endpoint
-	id        lwunit.ReplicaID
-	events    chan event
-	clock     lwclock.Clock
-	onApply   func(lwunit.Revision, lwstate.Command) // called for each command applied
-	freeSpace func() (lwunit.Bytes, error)           // on the disk of the data folder
-	diskLow   atomic.Bool                            // commands are refused, since free space is below minFreeDisk
-	diskFull  atomic.Bool                            // the last write found no space; the driver waits until one succeeds
+	log      *zap.Logger
+	wal      *lwwal.Log
+	endpoint *lwrpc.Endpoint
+	id       lwunit.ReplicaID
+	events   chan event
+	clock    lwclock.Clock
+	// snapshotSize is the size of applied entries from which the next snapshot is due.
+	snapshotSize lwunit.Bytes
+	onApply      func(lwunit.Revision, lwstate.Command) // called for each command applied
+	freeSpace    func() (lwunit.Bytes, error)           // on the disk of the data folder
+	diskLow      atomic.Bool                            // commands are refused, since free space is below minFreeDisk
+	diskFull     atomic.Bool                            // the last write found no space; the driver waits until one succeeds
 
 	// Written by the driver goroutine only. Other goroutines read applied under mu;
 	// the rest belongs to the driver.
@@ -90,7 +92,7 @@
 	senders            map[lwunit.ReplicaID]*sender
 	applied            lwreplica.Index
 	lastSnapshot       lwreplica.Index
-	bytesSinceSnapshot int // of entries applied since the last snapshot
+	bytesSinceSnapshot lwunit.Bytes // of entries applied since the last snapshot
 	wasLeader          bool
 
 	snapshotting   bool                // a snapshot is being written in the background
@@ -137,7 +139,7 @@
 		log: log, wal: wal, endpoint: e, id: c.Identity.Replica, events: make(chan event, eventQueueLength), clock: lwclock.New(), freeSpace: free,
 		waiters: make(map[uint64]*waiter), waitersByIndex: make(map[lwreplica.Index]*waiter), senders: make(map[lwunit.ReplicaID]*sender),
 		applied: c.State.Snapshot.Index, lastSnapshot: c.State.Snapshot.Index, state: state, stateChanged: make(chan struct{}),
-		snapshotDone: make(chan snapshotResult, 1),
+		snapshotDone: make(chan snapshotResult, 1), snapshotSize: defaultSnapshotSize,
 	}
 	r.core = lwreplica.New(cfg, c.State, 0)
 	log.Info("state restored", zap.Uint64("snapshot", uint64(r.lastSnapshot)), zap.Uint64("last", uint64(r.core.LastIndex())),
@@ -346,7 +348,7 @@
 }
 
 // publish updates the view, and starts a snapshot when snapshotEntries or
-// snapshotBytes have been applied since the last one.
+// snapshotSize have been applied since the last one.
 func (r *replica) publish() {
 	v := view{
 		role: r.core.Role(), term: r.core.Term(), leader: r.core.LeaderID(), holdsLease: r.core.HoldsLease(r.now()),
@@ -366,7 +368,7 @@
 	r.view = v
 	r.mu.Unlock()
 	r.trackRole(v)
-	if (r.applied-r.lastSnapshot >= snapshotEntries || r.bytesSinceSnapshot >= snapshotBytes) && !r.snapshotting && r.now() >= r.nextSnapshotAt {
+	if (r.applied-r.lastSnapshot >= snapshotEntries || r.bytesSinceSnapshot >= r.snapshotSize) && !r.snapshotting && r.now() >= r.nextSnapshotAt {
 		r.startSnapshot()
 	}
 }
