End the lease for good once TimeoutNow was sent

A leader that had sent TimeoutNow and then removed the target from the membership cancelled the transfer and went on leading in the same term with its lease. TimeoutNow cannot be taken back, and voters grant the election that it starts although they follow a leader: two replicas held the leader lease at once, so that the old one could grant task leases and answer as leader while the new one acted on newer state.

The leader now ends such a transfer as it does one past its deadline: it steps down if TimeoutNow was sent, and only otherwise leads on.

TestRemovedTransferTargetEndsLease failed before with "at 880ms: a1 (term 2) and c1 (term 1) both hold the leader lease".

--- a/internal/control/lwreplica/election.go
+++ b/internal/control/lwreplica/election.go
@@ -215,14 +215,14 @@
 }
 
 // sendTimeoutNowIfCaughtUp sends TimeoutNow if the target of a transfer has the
-// whole log. It cancels the transfer if the target is no longer a member.
+// whole log. It ends the transfer if the target is no longer a member.
 func (c *Core) sendTimeoutNowIfCaughtUp() {
 	if c.transferTarget == "" {
 		return
 	}
 	p, ok := c.peers[c.transferTarget]
 	if !ok {
-		c.transferTarget = ""
+		c.endTransfer()
 		return
 	}
 	if p.match == c.lastIndex() {
--- a/internal/control/lwreplica/replicate.go
+++ b/internal/control/lwreplica/replicate.go
@@ -63,9 +63,10 @@
 	}
 }
 
-// endTransfer ends a leadership transfer that did not succeed in time. TimeoutNow
-// cannot be taken back: if it was sent, another replica may still be elected, so
-// the leader steps down rather than lead without a lease.
+// endTransfer ends a leadership transfer that did not succeed in time or whose
+// target is no longer a member. TimeoutNow cannot be taken back: if it was sent,
+// another replica may still be elected, so the leader steps down rather than lead
+// without a lease.
 func (c *Core) endTransfer() {
 	if c.timeoutNowSent {
 		c.becomeFollower(c.hardState.Term, "")
