Count no answer to an earlier term towards the lease

A replica that received a message of an earlier term refused it in its own term, and returned the round and the time of sending. If the sender led that term by then, it counted the refusal as contact. Its clock and its rounds start anew with the process, so after a restart the time could lie far in the future: a leader that was then cut off kept its lease and confirmed reads on its own, beside the leader that the others elected.

The refusal now returns neither, and a leader drops answers to messages that were sent before its leadership, which covers the zeros. The members of the test cluster now have a clock that starts with each process, as in lwcontrol.

TestAnswerToFormerTermDoesNotExtendLease failed before with "the cut-off leader confirmed a read" and "at 32.645155617s: a1 (term 4) and b1 (term 3) both hold the leader lease".

--- a/internal/control/lwreplica/cluster_test.go
+++ b/internal/control/lwreplica/cluster_test.go
@@ -25,7 +25,8 @@
 	core         *lwreplica.Core
 	down         bool
 	paused       bool
-	clockRate    float64 // local time per cluster time
+	clockRate    float64       // local time per cluster time
+	startedAt    time.Duration // cluster time of the last start, at which its clock was 0
 	appliedIndex lwreplica.Index
 	starts       int
 }
@@ -121,9 +122,10 @@
 	}
 }
 
-// localTime returns the time on the member's own clock.
+// localTime returns the time on the member's own clock, which starts anew with
+// its process.
 func (c *cluster) localTime(x *member) time.Duration {
-	return time.Duration(float64(c.now)*x.clockRate) + time.Hour
+	return time.Duration(float64(c.now-x.startedAt) * x.clockRate)
 }
 
 func (c *cluster) start(x *member) {
@@ -134,6 +136,7 @@
 	}
 	log.SetSegmentBytes(2000)
 	x.starts++
+	x.startedAt = c.now
 	cfg := lwreplica.DefaultConfig(x.id, c.rng.Uint64())
 	cfg.ChunkBytes = c.chunkBytes
 	cfg.MaxInFlight = 4
--- a/internal/control/lwreplica/lease_test.go
+++ b/internal/control/lwreplica/lease_test.go
@@ -27,6 +27,56 @@
 	}
 }
 
+// TestAnswerToFormerTermDoesNotExtendLease guards against a lease that counts the
+// answer to a message which the leader sent in an earlier term, before a restart
+// of its process and so on another clock.
+func TestAnswerToFormerTermDoesNotExtendLease(t *testing.T) {
+	c := newCluster(t, 3, 22)
+	c.loss, c.duplication = 0, 0
+	l := c.awaitLeader(5 * time.Second)
+	c.run(30 * time.Second)
+	late := c.awaitAppendRequests(l)
+	c.crash(l)
+	c.start(l)
+	for i := 0; c.leader() != l; i++ {
+		if i == 10 {
+			t.Fatal("the restarted member was not elected again")
+		}
+		c.step(c.awaitLeader(5*time.Second), lwreplica.TransferLeadership{To: l.id})
+		c.run(500 * time.Millisecond)
+	}
+	c.awaitLeader(5 * time.Second)
+	for _, e := range late {
+		c.deliver(e)
+	}
+	c.run(2 * tick)
+	c.partition(l, true, true)
+	confirmed := c.confirmedReads
+	if c.read(l); c.confirmedReads != confirmed {
+		t.Error("the cut-off leader confirmed a read")
+	}
+	c.run(5 * time.Second) // checkLease fails if both hold the lease
+	if c.leader() == l {
+		t.Fatal("no other member was elected")
+	}
+}
+
+// awaitAppendRequests returns the AppendRequests of a member that are in flight.
+func (c *cluster) awaitAppendRequests(x *member) []lwreplica.Envelope {
+	for {
+		c.run(tick)
+		var list []lwreplica.Envelope
+		for _, d := range c.inFlight {
+			if _, ok := d.envelope.Body.(lwreplica.AppendRequest); ok && d.envelope.From == x.id {
+				list = append(list, d.envelope)
+			}
+		}
+		if len(list) > 0 {
+			return list
+		}
+	}
+}
+
 func withoutVoter(m lwreplica.Membership, id lwunit.ReplicaID) lwreplica.Membership {
 	isID := func(x lwreplica.Member) bool { return x.ID == id }
 	m.Voters = slices.DeleteFunc(slices.Clone(m.Voters), isID)
--- a/internal/control/lwreplica/replicate.go
+++ b/internal/control/lwreplica/replicate.go
@@ -150,9 +150,16 @@
 	return true
 }
 
+// refuseFormerTerm tells the leader of an earlier term the current one. The answer
+// is no contact with that leader, and the leader may by now lead the current term
+// with another clock, so it returns neither Round nor SentAt.
+func (c *Core) refuseFormerTerm(from lwunit.ReplicaID) {
+	c.sendAfterSync(from, AppendResponse{Term: c.hardState.Term, Reject: true})
+}
+
 func (c *Core) onAppendRequest(from lwunit.ReplicaID, m AppendRequest) {
 	if !c.acceptLeader(from, m.Term) {
-		c.sendAfterSync(from, AppendResponse{Term: c.hardState.Term, Reject: true, Round: m.Round, SentAt: m.SentAt})
+		c.refuseFormerTerm(from)
 		return
 	}
 	res := AppendResponse{Term: c.hardState.Term, Round: m.Round, SentAt: m.SentAt}
@@ -237,14 +244,15 @@
 
 // recordAck records an answer to a message of the current term and returns the
 // sender's progress. It returns nil if the answer does not count, because this
-// replica does not lead in the answer's term or the sender is not a member. An
-// answer of a later term makes the replica a follower.
+// replica does not lead in the answer's term, the answered message is older than
+// its leadership or the sender is not a member. An answer of a later term makes
+// the replica a follower.
 func (c *Core) recordAck(from lwunit.ReplicaID, term Term, round uint64, sentAt time.Duration) *progress {
 	if term > c.hardState.Term {
 		c.becomeFollower(term, "")
 		return nil
 	}
-	if c.role != Leader || term != c.hardState.Term {
+	if c.role != Leader || term != c.hardState.Term || sentAt < c.leaderSince {
 		return nil
 	}
 	p := c.peers[from]
--- a/internal/control/lwreplica/snapshot.go
+++ b/internal/control/lwreplica/snapshot.go
@@ -28,7 +28,7 @@
 
 func (c *Core) onSnapshotChunk(from lwunit.ReplicaID, m SnapshotChunk) {
 	if !c.acceptLeader(from, m.Term) {
-		c.sendAfterSync(from, AppendResponse{Term: c.hardState.Term, Reject: true, Round: m.Round, SentAt: m.SentAt})
+		c.refuseFormerTerm(from)
 		return
 	}
 	if m.Index <= c.commit {
--- a/internal/control/lwreplica/types.go
+++ b/internal/control/lwreplica/types.go
@@ -118,7 +118,7 @@
 // completes its snapshot, that is not needed or that is of an earlier term. Match
 // is the last index up to which the log is known to equal the leader's; with
 // Reject set it is a hint: the last index at which the logs may agree, or 0 if the
-// request was of an earlier term.
+// request was of an earlier term. Round and SentAt are then 0, too.
 type AppendResponse struct {
 	Term   Term          `json:"term"`
 	Reject bool          `json:"reject,omitempty"`
