Refuse a membership that lists a replica twice

A membership change that repeated a voter passed the check, as it neither added nor removed one. The voter then counted several times towards every quorum: a leader cut off from all others committed the change on its own and kept its lease, beside the leader that the others elected. lwcontrol makes no such change; nothing but the check keeps one out.

TestVoterListedTwiceIsRefused failed before with "a1 committed {Index:2 Term:2 ...} at index 2; {Index:2 Term:1 ...} was committed there before".

--- a/internal/control/lwreplica/lease_test.go
+++ b/internal/control/lwreplica/lease_test.go
@@ -61,6 +61,24 @@
 	}
 }
 
+// TestVoterListedTwiceIsRefused guards against a membership that lists one voter
+// so often that it commits entries and holds the leader lease on its own.
+func TestVoterListedTwiceIsRefused(t *testing.T) {
+	c := newCluster(t, 3, 23)
+	c.loss, c.duplication = 0, 0
+	l := c.awaitLeader(5 * time.Second)
+	c.run(200 * time.Millisecond)
+	c.partition(l, true, true)
+	m := l.core.Membership()
+	own := m.Voters[slices.IndexFunc(m.Voters, func(x lwreplica.Member) bool { return x.ID == l.id })]
+	m.Voters = append(slices.Clone(m.Voters), own, own)
+	c.changeMembership(m)
+	c.run(5 * time.Second) // checkCommitted and checkLease fail if both lead
+	if c.leader() == l {
+		t.Fatal("no other member was elected")
+	}
+}
+
 // awaitAppendRequests returns the AppendRequests of a member that are in flight.
 func (c *cluster) awaitAppendRequests(x *member) []lwreplica.Envelope {
 	for {
--- a/internal/control/lwreplica/membership.go
+++ b/internal/control/lwreplica/membership.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
 
 // changeMembership appends a new membership. It is in force once appended, so a
@@ -37,6 +38,13 @@
 	case countMissing(current.Voters, next.Voters)+countMissing(next.Voters, current.Voters) > 1:
 		return lwfault.New(lwfault.Invalid, "a membership change may add or remove at most one voter")
 	}
+	listed := make(map[lwunit.ReplicaID]bool)
+	for _, m := range next.Members() {
+		if listed[m.ID] {
+			return lwfault.New(lwfault.Invalid, "a membership may list replica %s only once", m.ID)
+		}
+		listed[m.ID] = true
+	}
 	for _, m := range next.Voters {
 		if current.IsVoter(m.ID) {
 			continue
