Search for two leader leases with random schedules

TestRandomLease mixes transfers, changes of the membership during them, restarts, cut links and messages that arrive up to two seconds late, on clocks whose rates differ by the bound. Clocks differ too little for it to find a lease that ignores them; TestLeaseEndsOnSlowClock does.

--- a/internal/control/lwreplica/cluster_test.go
+++ b/internal/control/lwreplica/cluster_test.go
@@ -71,6 +71,8 @@
 	jitter      time.Duration
 	loss        float64
 	duplication float64
+	lateShare   float64 // share of the messages that arrive up to lateBy later
+	lateBy      time.Duration
 	blocked     map[link]bool
 	chunkBytes  int
 	nextID      uint64
@@ -203,6 +205,9 @@
 			}
 			c.seq++
 			at := c.now + c.delay + time.Duration(c.rng.Int64N(int64(c.jitter)+1))
+			if c.lateShare > 0 && c.rng.Float64() < c.lateShare {
+				at += time.Duration(c.rng.Int64N(int64(c.lateBy) + 1))
+			}
 			heap.Push(&c.inFlight, delivery{at, c.seq, e})
 		}
 	}
@@ -381,9 +386,14 @@
 // heal restores the links, except for their jitter, and starts or resumes all
 // members.
 func (c *cluster) heal() {
-	c.blocked = make(map[link]bool)
 	c.loss, c.duplication = 0.02, 0.01
 	c.delay = 4500 * time.Microsecond
+	c.reconnect()
+}
+
+// reconnect unblocks the links and starts or resumes all members.
+func (c *cluster) reconnect() {
+	c.blocked = make(map[link]bool)
 	for _, x := range c.members {
 		x.paused = false
 		if x.down {
--- a/internal/control/lwreplica/lease_test.go
+++ b/internal/control/lwreplica/lease_test.go
@@ -1,6 +1,7 @@
 package lwreplica_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,140 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 )
 
+// TestRandomLease guards against two leader leases at once: it mixes transfers,
+// membership changes, restarts, partitions and messages that arrive late or twice,
+// on clocks whose rates differ by the configured bound.
+func TestRandomLease(t *testing.T) {
+	const runs, steps = 400, 150
+	holds := 0
+	for seed := range uint64(runs) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			c := newCluster(t, 3+int(seed%3), 9000+seed)
+			for i, x := range c.members {
+				x.clockRate = 1 + 0.005*float64(i%2*2-1)
+			}
+			c.lateShare, c.lateBy = 0.1, 2*time.Second
+			if seed%2 == 1 {
+				c.delay, c.jitter = 100*time.Microsecond, 0
+			}
+			for range steps {
+				c.randomLeaseStep(seed%2 == 1)
+				if l := c.leader(); l != nil && l.core.HoldsLease(c.localTime(l)) {
+					holds++
+				}
+			}
+		})
+	}
+	t.Logf("a leader held the lease after %d of %d steps", holds, runs*steps)
+	if holds < runs*steps/4 {
+		t.Fatal("a leader held the lease too seldom for the test to show anything")
+	}
+}
+
+// randomLeaseStep takes one step of TestRandomLease. With cuts set, most steps cut
+// the links between the leader and one other member for long.
+func (c *cluster) randomLeaseStep(cuts bool) {
+	x := c.members[c.rng.IntN(len(c.members))]
+	l := c.leader()
+	kinds := 16
+	if cuts {
+		kinds = 40
+	}
+	switch c.rng.IntN(kinds) {
+	case 0, 1, 2:
+		if !x.down {
+			c.crash(x)
+		}
+		c.run(time.Duration(c.rng.IntN(100)) * time.Millisecond)
+		c.start(x)
+	case 3, 4:
+		c.partition(x, c.rng.IntN(2) == 0, c.rng.IntN(2) == 0)
+	case 5:
+		c.blocked[link{x.name, c.members[c.rng.IntN(len(c.members))].name}] = true
+	case 6, 7:
+		c.reconnect()
+	case 8:
+		x.paused = !x.paused
+	case 9:
+		c.takeSnapshot(x)
+	case 10, 11, 12:
+		if l == nil {
+			break
+		}
+		c.step(l, lwreplica.TransferLeadership{To: x.id})
+		c.run(time.Duration(c.rng.IntN(3)) * tick)
+		if c.rng.IntN(2) == 0 {
+			c.changeMembership(c.randomMembership(l.core.Membership(), x))
+		}
+		if c.rng.IntN(2) == 0 {
+			c.partition(l, true, true)
+		}
+	case 13, 14:
+		if l != nil {
+			c.changeMembership(c.randomMembership(l.core.Membership(), x))
+		}
+	case 15:
+		if l != nil {
+			c.propose(l)
+			c.read(l)
+		}
+	default:
+		if l == nil {
+			break
+		}
+		c.reconnect()
+		c.blocked[link{l.name, x.name}] = true
+		c.blocked[link{x.name, l.name}] = c.rng.IntN(4) > 0
+		c.run(time.Duration(c.rng.IntN(1000)) * time.Millisecond)
+	}
+	c.run(time.Duration(c.rng.IntN(400)) * time.Millisecond)
+}
+
+// randomMembership returns m with x turned from a voter into a learner or the
+// other way.
+func (c *cluster) randomMembership(m lwreplica.Membership, x *member) lwreplica.Membership {
+	is := func(y lwreplica.Member) bool { return y.ID == x.id }
+	next := lwreplica.Membership{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
+	switch i := slices.IndexFunc(m.Voters, is); {
+	case i >= 0:
+		next.Voters = slices.Delete(next.Voters, i, i+1)
+		if c.rng.IntN(2) == 0 {
+			next.Learners = append(next.Learners, m.Voters[i])
+		}
+	case m.IsLearner(x.id):
+		next.Voters = append(next.Voters, m.Learners[slices.IndexFunc(m.Learners, is)])
+		next.Learners = slices.DeleteFunc(next.Learners, is)
+	default:
+		next.Learners = append(next.Learners, lwreplica.Member{ID: x.id, Address: x.name})
+	}
+	return next
+}
+
+// TestLeaseEndsOnSlowClock guards against a lease that outlasts the refusal of
+// votes, because the leader's clock is slower than those of the others by the
+// configured bound. It needs an election that starts at the earliest time.
+func TestLeaseEndsOnSlowClock(t *testing.T) {
+	for seed := range uint64(600) {
+		c := newCluster(t, 3, 12000+seed)
+		c.delay, c.jitter, c.loss, c.duplication = 50*time.Microsecond, 0, 0, 0
+		slow := c.members[0]
+		for _, x := range c.members {
+			x.clockRate = 1.005
+		}
+		slow.clockRate = 0.995
+		if l := c.awaitLeader(5 * time.Second); l != slow {
+			c.run(200 * time.Millisecond)
+			c.step(l, lwreplica.TransferLeadership{To: slow.id})
+			c.run(200 * time.Millisecond)
+		}
+		if c.awaitLeader(5*time.Second) != slow {
+			t.Fatalf("seed %d: the member with the slow clock was not elected", seed)
+		}
+		c.partition(slow, true, true)
+		c.run(600 * time.Millisecond) // checkLease fails if both hold the lease
+	}
+}
+
 // TestRemovedTransferTargetEndsLease guards against a leader that holds the lease
 // again after it sent TimeoutNow, because the target was removed meanwhile.
 func TestRemovedTransferTargetEndsLease(t *testing.T) {
