Inject the fault in every run of the fault matrix

TestFaultMatrix injected nothing in 5 of its 520 runs, because no member led at that step, and in 26 the "other member" was the one that the operation had stopped, so that killing, restarting or pausing it was no fault to a running member. All these runs passed.

A run now fails unless it injects its fault once. While no member leads, the former leader counts as the leader, or the next one if it has left. The other member is one that runs. The faults that act on a stopped member, such as a lost disk, keep 20 runs of their own, which makes 540; kill, restart and pause no longer target one. The loss of a second member waits for a leader to crash. The checks are unchanged.

--- a/internal/control/lwreplica/fault_test.go
+++ b/internal/control/lwreplica/fault_test.go
@@ -12,10 +12,20 @@
 
 // fault is a failure that is injected at one member.
 type fault struct {
-	name   string
-	inject func(c *cluster, x *member)
+	name         string
+	inject       func(c *cluster, x *member)
+	needsRunning bool // does nothing at a member that is down
 }
 
+// target is the kind of member at which a fault is injected.
+type target string
+
+const (
+	atLeader target = "leader"
+	atOther  target = "other" // a running member that does not lead
+	atDown   target = "member that is down"
+)
+
 // failDisk returns a function that makes every disk operation of one kind fail at
 // a member; written is how many bytes of a failed write reach the file
 // nevertheless.
@@ -32,38 +42,37 @@
 
 func faults() []fault {
 	return []fault{
-		{"kill", func(c *cluster, x *member) { c.crash(x) }},
-		{"kill and restart", func(c *cluster, x *member) { c.crash(x); c.start(x) }},
-		{"lost disk", func(c *cluster, x *member) { c.replaceDisk(x) }},
-		{"failed sync", failDisk("sync", 0)},
-		{"torn write", failDisk("write", 11)},
-		{"failed write", failDisk("write", 0)},
-		{"cut off both ways", func(c *cluster, x *member) { c.partition(x, true, true) }},
-		{"receives no messages", func(c *cluster, x *member) { c.partition(x, true, false) }},
-		{"sent messages are lost", func(c *cluster, x *member) { c.partition(x, false, true) }},
-		{"pause", func(_ *cluster, x *member) { x.paused = true }},
-		{"slow links with loss", func(c *cluster, _ *member) { c.delay, c.loss = 45*time.Millisecond, 0.2 }},
-		{"duplicated messages", func(c *cluster, _ *member) { c.duplication, c.jitter = 0.5, 40*time.Millisecond }},
+		{"kill", func(c *cluster, x *member) { c.crash(x) }, true},
+		{"kill and restart", func(c *cluster, x *member) { c.crash(x); c.start(x) }, true},
+		{"lost disk", func(c *cluster, x *member) { c.replaceDisk(x) }, false},
+		{"failed sync", failDisk("sync", 0), false},
+		{"torn write", failDisk("write", 11), false},
+		{"failed write", failDisk("write", 0), false},
+		{"cut off both ways", func(c *cluster, x *member) { c.partition(x, true, true) }, false},
+		{"receives no messages", func(c *cluster, x *member) { c.partition(x, true, false) }, false},
+		{"sent messages are lost", func(c *cluster, x *member) { c.partition(x, false, true) }, false},
+		{"pause", func(_ *cluster, x *member) { x.paused = true }, true},
+		{"slow links with loss", func(c *cluster, _ *member) { c.delay, c.loss = 45*time.Millisecond, 0.2 }, false},
+		{"duplicated messages", func(c *cluster, _ *member) { c.duplication, c.jitter = 0.5, 40*time.Millisecond }, false},
 		{"second member lost right after a disk replacement", func(c *cluster, x *member) {
 			c.replaceDisk(x)
-			if l := c.leader(); l != nil {
-				c.crash(l)
-			}
-		}},
+			c.crash(c.awaitLeader(10 * time.Second))
+		}, false},
 	}
 }
 
 // operation is what the group does while a fault is injected. It calls at with
 // the numbers 0 to 3 at the points at which the fault may be injected.
 type operation struct {
-	name string
-	size int // number of members; an operation that stops or removes one needs more to tolerate a fault
-	run  func(c *cluster, at func(step int))
+	name      string
+	size      int // number of members; an operation that stops or removes one needs more to tolerate a fault
+	downSteps int // number of the first steps at which a member is down
+	run       func(c *cluster, at func(step int))
 }
 
 func operations() []operation {
 	return []operation{
-		{"propose", 3, func(c *cluster, at func(int)) {
+		{"propose", 3, 0, func(c *cluster, at func(int)) {
 			at(0)
 			if l := c.leader(); l != nil {
 				c.propose(l)
@@ -74,7 +83,7 @@
 			c.run(tick)
 			at(3)
 		}},
-		{"read", 3, func(c *cluster, at func(int)) {
+		{"read", 3, 0, func(c *cluster, at func(int)) {
 			at(0)
 			if l := c.leader(); l != nil {
 				c.read(l)
@@ -85,7 +94,7 @@
 			c.run(tick)
 			at(3)
 		}},
-		{"snapshot to a follower that missed hundreds of entries", 5, func(c *cluster, at func(int)) {
+		{"snapshot to a follower that missed hundreds of entries", 5, 2, func(c *cluster, at func(int)) {
 			l := c.leader()
 			behind := c.other(l)
 			c.crash(behind)
@@ -111,7 +120,7 @@
 			c.run(100 * time.Millisecond)
 			at(3)
 		}},
-		{"leadership transfer", 3, func(c *cluster, at func(int)) {
+		{"leadership transfer", 3, 0, func(c *cluster, at func(int)) {
 			at(0)
 			if l := c.leader(); l != nil {
 				c.step(l, lwreplica.TransferLeadership{To: c.other(l).id})
@@ -122,7 +131,7 @@
 			c.run(tick)
 			at(3)
 		}},
-		{"membership change", 5, func(c *cluster, at func(int)) {
+		{"membership change", 5, 0, func(c *cluster, at func(int)) {
 			at(0)
 			if l := c.leader(); l != nil {
 				m := l.core.Membership()
@@ -152,17 +161,20 @@
 }
 
 // TestFaultMatrix injects every fault at every step of every operation, at the
-// leader and at another member, which may be down. It injects nothing in the few
-// runs that have no leader at that step.
+// leader, at another running member and, where an operation has stopped a member,
+// at that one. A run that injects nothing fails.
 func TestFaultMatrix(t *testing.T) {
 	cells := 0
 	for _, op := range operations() {
 		for _, f := range faults() {
 			for step := range 4 {
-				for _, atLeader := range []bool{true, false} {
-					name := fmt.Sprintf("%s/%s/step %d/leader %t", op.name, f.name, step, atLeader)
+				for _, at := range []target{atLeader, atOther, atDown} {
+					if at == atDown && (step >= op.downSteps || f.needsRunning) {
+						continue
+					}
+					name := fmt.Sprintf("%s/%s/step %d/%s", op.name, f.name, step, at)
 					cells++
-					t.Run(name, func(t *testing.T) { runCell(t, op, f, step, atLeader, uint64(cells)) })
+					t.Run(name, func(t *testing.T) { runCell(t, op, f, step, at, uint64(cells)) })
 				}
 			}
 		}
@@ -170,22 +182,22 @@
 	t.Logf("%d cells", cells)
 }
 
-func runCell(t *testing.T, op operation, f fault, step int, atLeader bool, seed uint64) {
+func runCell(t *testing.T, op operation, f fault, step int, at target, seed uint64) {
 	c := newCluster(t, op.size, seed)
-	c.awaitLeader(5 * time.Second)
+	former := c.awaitLeader(5 * time.Second)
 	c.mustCommit(5 * time.Second)
-	op.run(c, func(at int) {
-		if at != step {
+	injected := 0
+	op.run(c, func(n int) {
+		if n != step {
 			return
 		}
-		x := c.leader()
-		if x != nil && !atLeader {
-			x = c.other(x)
-		}
-		if x != nil {
-			f.inject(c, x)
-		}
+		x := c.faultTarget(at, former)
+		f.inject(c, x)
+		injected++
 	})
+	if injected != 1 {
+		t.Fatalf("the fault was injected %d times", injected)
+	}
 	c.run(3 * time.Second)
 	if l := c.leader(); l != nil {
 		c.propose(l)
@@ -195,6 +207,26 @@
 	c.checkEnd()
 }
 
+// faultTarget returns a member at which to inject a fault. While no member leads,
+// former counts as the leader if it still runs, and the next one otherwise.
+func (c *cluster) faultTarget(at target, former *member) *member {
+	c.t.Helper()
+	l := c.leader()
+	switch {
+	case l == nil && c.byID[former.id] == former && !former.down:
+		l = former
+	case l == nil:
+		l = c.awaitLeader(5 * time.Second)
+	}
+	for _, x := range c.members {
+		if (at == atLeader && x == l) || (at == atOther && x != l && !x.down && !x.paused) || (at == atDown && x.down) {
+			return x
+		}
+	}
+	c.t.Fatalf("at %s: no %s to inject the fault at", c.now, at)
+	return nil
+}
+
 // TestRandomFaults mixes faults, proposals, reads and snapshots at random.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(60) {
