Learn no run time from an adopted run

A leader counted the run time of a run that it adopted from the adoption, not from the start. After each change of leader the runs that ended soon pulled the expected run time of their queue down, and with it the slack, value and drain decisions of its jobs.

TestAdoptedRunTeachesNoRunTime printed before: "a task is expected to run 3.288s after the end of an adopted run, want the declared 30s". A run is now marked as adopted, and only runs whose start this leader ordered give samples.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -26,6 +26,7 @@
 	phase           runPhase
 	lastSentAt      time.Duration // when a start or stop of the run was last ordered; orders of CPU shares do not count
 	orderedAt       time.Duration // when the start was decided, or the run adopted
+	adopted         bool          // it began before orderedAt, at a time that this leader does not know
 	cpuPercent      int           // CPU share that was ordered last, in percent of the declared processors
 	cpuPercentSetAt time.Duration // when the CPU share was last changed by an order
 	throttledAt     time.Duration // when cpuPercent was last lowered from 100
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -36,7 +36,7 @@
 	switch e.How {
 	case lwjob.EndDone:
 		c.recordSuccess(w)
-		if r != nil && !s.spec.LongRunning && len(t.failedRuns) == 0 && t.checkpoint == "" {
+		if r != nil && !r.adopted && !s.spec.LongRunning && len(t.failedRuns) == 0 && t.checkpoint == "" {
 			c.runTimesOf(s.job).add(c.now - r.orderedAt)
 		}
 		c.finishTask(t)
--- a/internal/control/lwdispatch/handover_test.go
+++ b/internal/control/lwdispatch/handover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
 // ordered returns the orders of one type that are pending for a worker.
@@ -115,3 +116,31 @@
 	expectStarts(t, f.takeStarts("w1"))
 	expectStarts(t, f.takeStarts("w3"))
 }
+
+// A new leader has not seen the start of a run that it adopts. The time since its
+// adoption must not be learned as its run time, which would lower the estimates of its
+// queue after each change of leader.
+func TestAdoptedRunTeachesNoRunTime(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(2, 1, 30*time.Second))
+	runs := f.startAll("w1")
+	f.advance(25 * time.Second)
+	f.startTerm(testTerm + 1)
+	f.join(f.infos["w1"])
+	j := f.core.jobs["j"]
+	estimate := func() time.Duration { return f.core.expectedRunTime(j, j.steps[0][0].spec).Round(time.Millisecond) }
+	f.advance(time.Second)
+	f.endRun("w1", runs[0], lwjob.EndDone)
+	if got := estimate(); got != 30*time.Second {
+		t.Errorf("a task is expected to run %s after the end of an adopted run, want the declared 30s", got)
+	}
+
+	f.submit("own", tasks(1, 1, 30*time.Second))
+	own := f.startAll("w1")
+	f.advance(2 * time.Second)
+	f.endRun("w1", own[0], lwjob.EndDone)
+	if got := estimate(); got >= 30*time.Second {
+		t.Errorf("a task is expected to run %s after the end of a run of 2 s that this leader started, want less than 30s", got)
+	}
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -93,7 +93,7 @@
 		c.logDecision(Decision{Kind: DecidedStop, Task: status.Task, Run: status.Run, Worker: w.info.Incarnation.Worker, Reason: "its job is unknown"})
 		return
 	}
-	r := &run{task: t, id: status.Run, worker: w, phase: runListed, orderedAt: c.now, lastSentAt: c.now, cpuPercent: fullPercent, status: status}
+	r := &run{task: t, id: status.Run, worker: w, phase: runListed, orderedAt: c.now, adopted: true, lastSentAt: c.now, cpuPercent: fullPercent, status: status}
 	t.highestRun = max(t.highestRun, status.Run)
 	t.step.job.started = true
 	if status.Checkpoint != "" {
