Let adopted runs that are nearly done end on a draining worker

A leader that adopts the runs of a draining worker took each of them for just begun and stopped it unless a whole run fits into the time that the worker has left. A run that was nearly done, and its work if it keeps no checkpoints, was lost.

TestDrainLeavesAdoptedRunThatEndsInTime printed before: "stops of [{begun.0.0.0 1} {nearly.0.0.0 1}] were ordered, want one of begun.0.0.0". The time left of an adopted run is now taken from the progress that its worker reports. The other uses of the time of an order (the moves of serving tasks and the settle time of CPU measurements) need only a lower bound of the run's age, which the time since the adoption is.

--- a/internal/control/lwdispatch/estimate.go
+++ b/internal/control/lwdispatch/estimate.go
@@ -64,6 +64,17 @@
 	return seconds(math.Exp(x))
 }
 
+// expectedTimeLeft returns the expected time until a run ends. For an adopted run, whose
+// start is unknown, it rests on the progress that the worker reports.
+func (c *Core) expectedTimeLeft(r *run) time.Duration {
+	total := c.expectedRunTime(r.task.step.job, r.task.step.spec)
+	left := total - (c.now - r.orderedAt)
+	if r.adopted {
+		left = min(left, total/fullPercent*time.Duration(fullPercent-r.status.Progress))
+	}
+	return left
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // computePaths computes the expected time from the start of each step to the end
--- a/internal/control/lwdispatch/handover_test.go
+++ b/internal/control/lwdispatch/handover_test.go
@@ -144,3 +144,26 @@
 		t.Errorf("a task is expected to run %s after the end of a run of 2 s that this leader started, want less than 30s", got)
 	}
 }
+
+// A draining worker's run that is nearly done must be left to end also by a leader that
+// has adopted it and does not know how long it has run.
+func TestDrainLeavesAdoptedRunThatEndsInTime(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("nearly", tasks(1, 1, time.Minute))
+	f.submit("begun", tasks(1, 1, time.Minute))
+	f.startAll("w1")
+	for i := range f.lists["w1"] {
+		s := &f.lists["w1"][i]
+		if s.Progress = 10; s.Task == "nearly.0.0.0" {
+			s.Progress = 95
+		}
+	}
+	info := f.infos["w1"]
+	info.Draining, info.DrainTimeLeft = true, lwunit.Duration(5*time.Second)
+	f.startTerm(testTerm + 1)
+	f.join(info)
+	if stops := ordered[StopRun](f, "w1"); len(stops) != 1 || stops[0].Task != "begun.0.0.0" {
+		t.Errorf("stops of %v were ordered, want one of begun.0.0.0", stops)
+	}
+}
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -96,9 +96,7 @@
 // they save a checkpoint and continue elsewhere.
 func (c *Core) drainWorker(w *worker) {
 	for _, r := range w.sortedRuns() {
-		s := r.task.step
-		left := c.expectedRunTime(s.job, s.spec) - (c.now - r.orderedAt)
-		if s.spec.LongRunning || left > w.info.DrainTimeLeft.Std() {
+		if r.task.step.spec.LongRunning || c.expectedTimeLeft(r) > w.info.DrainTimeLeft.Std() {
 			c.stopRun(r, "its worker is draining")
 		}
 	}
