Refuse a ticket that grants a token twice, match digests in any case

A ticket could name one token under two roles or for two teams. It was accepted, and one grant counted without a word: within a team the last, of two teams one that differed from entry to entry and from refresh to refresh (a map's order). A digest in upper case, as several tools print it, passed the check but never matched, so its token got 401.

An entry now refuses such a ticket and names the token and both grants. Digests are compared in lower case but kept as written, so the digests of tickets do not change. Hexadecimal digits mean the same in both cases, so refusing them would help nobody. Tokens that separate tickets grant to two teams are still accepted; all entries now use the same grant, the last in the order of the keys.

--- a/internal/control/lwticket/ticket.go
+++ b/internal/control/lwticket/ticket.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -119,9 +120,12 @@
 // Token is the SHA-256 digest of a bearer token and the role that it grants.
 type Token struct {
 	Role   Role   `json:"role"`
-	SHA256 string `json:"sha256"`
+	SHA256 string `json:"sha256"` // as the ticket gives it; compare Digest
 }
 
+// Digest returns SHA256 in lower case, as TokenDigest returns it.
+func (t Token) Digest() string { return strings.ToLower(t.SHA256) }
+
 // TokenDigest returns the SHA-256 digest of a bearer token in hexadecimal, as it
 // appears in a team's spec.
 func TokenDigest(token string) string {
@@ -232,6 +236,32 @@
 	return nil
 }
 
+// CheckTokens returns an error if the ticket grants a token under two roles or to two
+// teams: only one grant would count. It is for new tickets. Decode accepts such a ticket,
+// because replicas must be able to apply one that an earlier version put into the log.
+func (t Ticket) CheckTokens() error {
+	type grant struct {
+		team string
+		role Role
+	}
+	grants := make(map[string]grant)
+	for _, o := range t.Objects {
+		spec, ok := o.Spec.(TeamSpec)
+		if !ok {
+			continue
+		}
+		for _, token := range spec.Tokens {
+			next := grant{o.Key.Name, token.Role}
+			if first, ok := grants[token.Digest()]; ok && first != next {
+				return lwfault.New(lwfault.Invalid, "ticket: the token with sha256 %s is granted twice, as %s of team %s and as %s of team %s; grant it once",
+					token.Digest(), first.role, first.team, next.role, next.team)
+			}
+			grants[token.Digest()] = next
+		}
+	}
+	return nil
+}
+
 func decodeObject(w wireObject) (Object, error) {
 	o := Object{Key: Key{w.Region, w.Kind, w.Name}}
 	if w.Name == "" || len(w.Name) > maxNameBytes {
--- a/internal/control/lwticket/ticket_test.go
+++ b/internal/control/lwticket/ticket_test.go
@@ -55,6 +55,56 @@
 	}
 }
 
+// tokenTicket returns a ticket with two teams that have the given tokens.
+func tokenTicket(first, second string) string {
+	return `{"number": 7, "author": "aiko", "objects": [
+		{"kind": "team", "name": "t", "spec": {"tokens": [` + first + `]}},
+		{"kind": "team", "name": "u", "spec": {"tokens": [` + second + `]}}]}`
+}
+
+// Of a token that a ticket grants twice one grant would count, and nobody would be told
+// which. New tickets of that kind are refused. Decode must still accept them: replicas
+// apply again what an earlier version put into the log.
+func TestTokenGrantedTwice(t *testing.T) {
+	a, b := strings.Repeat("ab", 32), strings.Repeat("cd", 32)
+	token := func(role, digest string) string { return fmt.Sprintf(`{"role": %q, "sha256": %q}`, role, digest) }
+	cases := []struct{ name, first, second, want string }{
+		{"different tokens", token("caller", a), token("operator", b), ""},
+		{"the same grant twice", token("caller", a) + "," + token("caller", a), token("caller", b), ""},
+		{"two roles", token("caller", a) + "," + token("operator", a), token("caller", b), "as caller of team t and as operator of team t"},
+		{"two roles in other cases", token("caller", a) + "," + token("submitter", strings.ToUpper(a)), "", "as caller of team t and as submitter of team t"},
+		{"two teams", token("caller", a), token("caller", a), "as caller of team t and as caller of team u"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			decoded, err := lwticket.Decode([]byte(tokenTicket(c.first, c.second)))
+			is.NoErr(err)
+			err = decoded.CheckTokens()
+			if c.want == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.Equal(lwfault.KindOf(err), lwfault.Invalid)
+			is.True(strings.Contains(err.Error(), c.want))
+			is.True(strings.Contains(err.Error(), a)) // names the token
+		})
+	}
+}
+
+// The digest of an accepted ticket must never change: a replica that replays the log
+// under a newer version would keep another one than a replica that does not.
+func TestDigestKeepsTokensAsWritten(t *testing.T) {
+	is := is.New(t)
+	a := strings.Repeat("ab", 32)
+	decoded, err := lwticket.Decode([]byte(tokenTicket(`{"role": "caller", "sha256": "`+a+`"}, {"role": "operator", "sha256": "`+strings.ToUpper(a)+`"}`, "")))
+	is.NoErr(err)
+	digest, err := decoded.Digest()
+	is.NoErr(err)
+	is.Equal(string(digest), "d37af95b6a8ba6844c80b26026fef477d7f98b0c9c3cd517cb0a5e0ffec50670")
+}
+
 func TestRolesIncludeLowerRoles(t *testing.T) {
 	is := is.New(t)
 	is.True(lwticket.RoleOperator.Allows(lwticket.RoleCaller))
--- a/internal/entry/lwentry/admin.go
+++ b/internal/entry/lwentry/admin.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -75,7 +76,7 @@
 	}
 	digest := lwticket.TokenDigest(token)
 	g, ok := p.grants[digest]
-	if !ok && e.cfg.OperatorTokenSHA256 != "" && lwhttp.EqualTokens(digest, e.cfg.OperatorTokenSHA256) {
+	if !ok && e.cfg.OperatorTokenSHA256 != "" && lwhttp.EqualTokens(digest, strings.ToLower(e.cfg.OperatorTokenSHA256)) {
 		g, ok = grant{role: lwticket.RoleOperator}, true
 	}
 	switch {
@@ -143,6 +144,10 @@
 		writeRefusal(w, err)
 		return
 	}
+	if err := e.checkTokens(r.Context(), t); err != nil {
+		writeResult(w, http.StatusOK, nil, err)
+		return
+	}
 	canonical, err := t.Canonical()
 	if err != nil {
 		writeRefusal(w, err)
@@ -152,6 +157,20 @@
 	writeResult(w, http.StatusOK, out.Ticket, err)
 }
 
+// checkTokens checks the tokens of a ticket unless its number is recorded: a ticket that
+// an earlier version accepted gets its first answer again.
+func (e *Entry) checkTokens(ctx context.Context, t lwticket.Ticket) error {
+	refused := t.CheckTokens()
+	if refused == nil {
+		return nil
+	}
+	_, err := e.control.Query(ctx, lwlink.Query{Kind: lwlink.QueryTicket, Ticket: t.Number})
+	if lwfault.KindOf(err) == lwfault.NotFound {
+		return refused
+	}
+	return err
+}
+
 func (e *Entry) getTickets(w http.ResponseWriter, r *http.Request, _ grant) {
 	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
 	res, err := e.control.Query(r.Context(), lwlink.Query{Kind: lwlink.QueryTickets, Limit: limit})
--- a/internal/entry/lwentry/entry.go
+++ b/internal/entry/lwentry/entry.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -303,15 +306,18 @@
 	return &next
 }
 
+// tokenGrants returns the grants by token digest. Of several grants of one token the
+// last one counts, in the order of the objects' keys, so that all entries agree.
 func tokenGrants(objects map[lwticket.Key]lwstate.ObjectRecord) map[string]grant {
+	keys := slices.SortedFunc(maps.Keys(objects), func(a, b lwticket.Key) int { return strings.Compare(a.String(), b.String()) })
 	grants := make(map[string]grant)
-	for k, o := range objects {
-		team, ok := o.Object.Spec.(lwticket.TeamSpec)
+	for _, k := range keys {
+		team, ok := objects[k].Object.Spec.(lwticket.TeamSpec)
 		if !ok {
 			continue
 		}
 		for _, t := range team.Tokens {
-			grants[t.SHA256] = grant{lwunit.TeamName(k.Name), t.Role}
+			grants[t.Digest()] = grant{lwunit.TeamName(k.Name), t.Role}
 		}
 	}
 	return grants
