Answer 503 to a token that came before the first policy

The administration API of an entry looked tokens up in a policy that had not arrived yet and answered 401 "the token is not known" to a team's valid token, for as long as the entry had reached no control replica. Clients take 401 for final. Requests to services were answered with 503 already.

A token that is not found before the first policy now gets 503 unavailable, not_run, with Retry-After. The operator token of the settings works as before, and a request without a token still gets 401. TestTokenBeforeFirstPolicy failed before with "401 != 503".

--- a/internal/entry/lwentry/admin.go
+++ b/internal/entry/lwentry/admin.go
@@ -80,6 +80,8 @@
 		g, ok = grant{role: lwticket.RoleOperator}, true
 	}
 	switch {
+	case !ok && p.confirmedAt.IsZero():
+		return g, errNoPolicy()
 	case !ok:
 		return g, lwfault.New(lwfault.Unauthorized, "the token is not known")
 	case !g.role.Allows(required):
--- a/internal/entry/lwentry/grant_test.go
+++ b/internal/entry/lwentry/grant_test.go
@@ -5,11 +5,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
+	"lavenderweir.example/lavenderweir/internal/net/lwheader"
 )
 
 func teamObjects(specs map[string]lwticket.TeamSpec) map[lwticket.Key]lwstate.ObjectRecord {
@@ -54,3 +56,35 @@
 		is.Equal(tokenGrants(objects)[digest], first)
 	}
 }
+
+// Before the first policy has arrived an entry knows no team's token. It must ask the
+// sender to come back, not tell the sender of a valid token that it is unknown.
+func TestTokenBeforeFirstPolicy(t *testing.T) {
+	call := func(token string, p *policy) *httptest.ResponseRecorder {
+		e := &Entry{cfg: Config{OperatorTokenSHA256: lwticket.TokenDigest("operator secret")}}
+		e.policy.Store(p)
+		r := httptest.NewRequest(http.MethodGet, "/v1/jobs", http.NoBody)
+		if token != "" {
+			r.Header.Set("Authorization", "Bearer "+token)
+		}
+		w := httptest.NewRecorder()
+		e.requireRole(lwticket.RoleSubmitter, func(w http.ResponseWriter, _ *http.Request, _ grant) { w.WriteHeader(http.StatusOK) })(w, r)
+		return w
+	}
+	t.Run("a team's token gets 503 and may be sent again", func(t *testing.T) {
+		is := is.New(t)
+		w := call("team secret", &policy{})
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+		is.Equal(w.Header().Get(lwheader.Outcome), lwheader.NotRun)
+		is.Equal(w.Header().Get("Retry-After"), "1")
+	})
+	t.Run("the operator token of the settings needs no policy", func(t *testing.T) {
+		is.New(t).Equal(call("operator secret", &policy{}).Code, http.StatusOK)
+	})
+	t.Run("a request without a token gets 401", func(t *testing.T) {
+		is.New(t).Equal(call("", &policy{}).Code, http.StatusUnauthorized)
+	})
+	t.Run("an unknown token gets 401 once a policy has arrived", func(t *testing.T) {
+		is.New(t).Equal(call("team secret", &policy{confirmedAt: time.Now()}).Code, http.StatusUnauthorized)
+	})
+}
--- a/internal/entry/lwentry/request.go
+++ b/internal/entry/lwentry/request.go
@@ -68,12 +68,17 @@
 	entryLatency.Observe(time.Since(began))
 }
 
+// errNoPolicy is the answer before control has told the entry of services and tokens.
+func errNoPolicy() error {
+	return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "this entry has no confirmed policy yet", RetryAfter: time.Second}
+}
+
 // newRequest authenticates the caller, looks up the service, sets the deadline
 // and reads the body.
 func (e *Entry) newRequest(w http.ResponseWriter, r *http.Request) (*request, error) {
 	p := e.policy.Load()
 	if p.confirmedAt.IsZero() {
-		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "this entry has no confirmed policy yet", RetryAfter: time.Second}
+		return nil, errNoPolicy()
 	}
 	g, err := e.authenticate(p, r, lwticket.RoleCaller)
 	if err != nil {
