Propose the withdrawal of a busy backend server once

While a withdrawn backend server had requests in flight, its agent proposed the withdrawal again every 500 ms. Each proposal was committed and written to disk by all control replicas: a rolling drain with long requests kept them busy for nothing.

An agent now notes that control has recorded the withdrawal and only waits for the requests in flight. A proposal that failed is still repeated. TestWithdrawalIsRecordedOnce failed before with "13 != 2" proposals.

--- a/internal/worker/lwagent/backend.go
+++ b/internal/worker/lwagent/backend.go
@@ -42,6 +42,7 @@
 	expiresAt    time.Time
 	withdrawn    bool
 	announced    bool // control has recorded the announcement
+	removed      bool // control has recorded the withdrawal
 	finished     int  // requests since the last signal
 	late         int  // of these, over the service's tail target
 	lastSignalAt time.Time
@@ -231,15 +232,20 @@
 // control, if that is due. A withdrawn server is removed when it is idle.
 func (b *backendTable) updateControl(ctx context.Context, s *backend) {
 	s.mu.Lock()
-	announced, withdrawn := s.announced, s.withdrawn
+	announced, withdrawn, removed := s.announced, s.withdrawn, s.removed
 	s.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	inc := b.agent.cfg.Incarnation
 	switch {
 	case withdrawn:
-		if _, err := b.agent.client.Propose(call, lwstate.WithdrawBackend{ID: s.id, Incarnation: inc}); err != nil {
-			return
+		if !removed {
+			if _, err := b.agent.client.Propose(call, lwstate.WithdrawBackend{ID: s.id, Incarnation: inc}); err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.removed = true
+			s.mu.Unlock()
 		}
 		if load := s.gate.Load(); load.Busy+load.Queued == 0 {
 			b.remove(s)
