Tell an operator when the outcome of a change is unknown

After a POST or DELETE whose answer was lost the client of the administration API said "unavailable" (exit code 5, try again), as if nothing had been sent, also when the entry answered that it did not know the outcome, and "internal" (exit code 1) when a balancer lost the entry or the answer was cut off. The operator could not tell a change that was not made from one that may have been.

Such an error is now of kind unknown (exit code 6). It says that sending the same again is safe, which holds for tickets, jobs, cancellations and replacements of replicas; for drain and undrain it says to look at the worker first. Queries, failed dials and answers with the outcome not_run keep their kinds. TestUnknownOutcomeOfChange failed before in seven cases, as "unavailable != unknown" or "internal != unknown".

--- a/internal/command/lwcommand/main.go
+++ b/internal/command/lwcommand/main.go
@@ -23,7 +23,7 @@
 	ExitConflict    = 3 // the request is in conflict, has expired or was fenced off
 	ExitNotFound    = 4
 	ExitUnavailable = 5 // unavailable, overloaded or without a leader; retry later
-	ExitUnknown     = 6 // the request may or may not have taken effect; resend it
+	ExitUnknown     = 6 // the request may or may not have taken effect; the error says whether to resend it
 	ExitDenied      = 7 // the token is missing, unknown or lacks the permission
 )
 
