Trim finished runs of an agent without scanning them all

Once a shard held more than 4,096 runs of non-idempotent requests, each Finish and each fence looked at all of them under the shard's lock. Runs are kept for an hour, so a busy agent spent time that grew with the square of its requests, and its requests waited.

A shard now keeps its runs in the order in which their retention ends and looks only at those it removes. A run that goes on past its retention leaves the order until it ends, so it holds nothing up; it then gets a retention of its own, where its answer was dropped at once before.

--- a/internal/worker/lwrun/run.go
+++ b/internal/worker/lwrun/run.go
@@ -26,7 +26,7 @@
 const (
 	shards        = 16
 	trimThreshold = 4096      // runs in a shard above which old ones are removed
-	retention     = time.Hour // from when a run was started or fenced
+	retention     = time.Hour // from when a run was started or fenced, or from its end if it ran for longer
 )
 
 // Record is the recorded state of one run.
@@ -44,13 +44,19 @@
 type shard struct {
 	mu      sync.Mutex
 	records map[lwunit.FencingToken]*trackedRun
+	queue   []queuedRun         // the records in the order in which their retention ends, without overdue ones
 	floor   lwunit.FencingToken // highest token that was removed
 }
 
+type queuedRun struct {
+	token lwunit.FencingToken
+	at    time.Time // when its retention began
+}
+
 type trackedRun struct {
 	Record
-	createdAt time.Time
-	done      chan struct{} // closed when the run has ended or was fenced
+	overdue bool          // it ran on past its retention, and left the queue until it ends
+	done    chan struct{} // closed when the run has ended or was fenced
 }
 
 // NewTable returns a table without runs.
@@ -73,7 +79,7 @@
 	if token <= s.floor || s.records[token] != nil {
 		return lwfault.New(lwfault.Fenced, "claim %d was started or fenced before, or is too old to tell", token)
 	}
-	s.records[token] = &trackedRun{Record: Record{State: Started}, createdAt: time.Now(), done: make(chan struct{})}
+	s.add(token, &trackedRun{Record: Record{State: Started}, done: make(chan struct{})})
 	return nil
 }
 
@@ -92,6 +98,9 @@
 		run.State = AnswerLost
 	}
 	close(run.done)
+	if run.overdue {
+		s.add(token, run)
+	}
 	s.trim()
 }
 
@@ -111,7 +120,7 @@
 	default:
 		done := make(chan struct{})
 		close(done)
-		s.records[token] = &trackedRun{Record: Record{State: Fenced}, createdAt: time.Now(), done: done}
+		s.add(token, &trackedRun{Record: Record{State: Fenced}, done: done})
 		s.trim()
 		return Record{State: Fenced}
 	}
@@ -131,17 +140,33 @@
 	return closed
 }
 
-// trim removes the ended runs that are older than the retention, once the shard
-// holds more than trimThreshold. Their tokens stay refused, because floor rises
-// to the highest of them.
-func (s *shard) trim() {
+// add stores a run and begins its retention.
+func (s *shard) add(token lwunit.FencingToken, run *trackedRun) {
+	s.records[token] = run
+	s.queue = append(s.queue, queuedRun{token, time.Now()})
+}
+
+// trim removes the ended runs whose retention has passed, once the shard holds more
+// than trimThreshold. Their tokens stay refused, because floor rises to the highest of
+// them. It returns how many runs it has looked at.
+func (s *shard) trim() (looked int) {
 	if len(s.records) <= trimThreshold {
-		return
+		return 0
 	}
-	for token, run := range s.records {
-		if run.State != Started && time.Since(run.createdAt) > retention {
-			s.floor = max(s.floor, token)
-			delete(s.records, token)
+	for len(s.queue) > 0 {
+		looked++
+		q := s.queue[0]
+		if time.Since(q.at) <= retention {
+			break
+		}
+		s.queue = s.queue[1:]
+		run := s.records[q.token]
+		if run.State == Started {
+			run.overdue = true
+			continue
 		}
+		s.floor = max(s.floor, q.token)
+		delete(s.records, q.token)
 	}
+	return looked
 }
