Complete a group whose bootstrapping was interrupted

Without a configured number of voters, a first member that accepted the membership while its answer was lost reported a group from then on. The sender then only asked to join that group, which one voter of three can't lead, so the system never started. An init of an earlier attempt that arrived late had the same effect, since each attempt drew a new cluster name and the member refused every later one.

The name is now derived from the ids of the first voters. The same voters get the same name in each attempt, also after a restart of the sender, and a member that holds it counts as new until the group has a leader. A replica that lost its disk has a new id, hence another name, and still bootstraps no second group.

The three tests failed before, each with "timed out waiting until each member belongs to a group with a leader" after 10 s: an answer is lost, an init is delayed, the sender restarts in between.

--- a/internal/control/lwcontrol/bootstrap.go
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -102,12 +104,16 @@
 // of them belongs to. Otherwise, a JoinOnly node tries the control processes that
 // relays among them know. Any other node submits its replica as a candidate if the
 // number of voters is configured, or else bootstraps a group of all first members
-// if it has the lowest id and each of them has answered that it is new.
+// if it has the lowest id and each of them has answered that it is new. A member
+// that accepted the same group in an earlier attempt counts as new until the group
+// has a leader.
 func (n *Node) tryJoin(ctx context.Context) error {
 	statuses, err := n.firstMemberStatuses(ctx)
+	first := firstMembership(statuses)
+	resumable := !n.cfg.JoinOnly && n.cfg.Voters == 0 && err == nil
 	var peers []string
 	for _, st := range statuses {
-		if st.Cluster != "" {
+		if st.Cluster != "" && (st.Leads || !resumable || st.Cluster != clusterName(first)) {
 			return n.requestJoin(ctx, n.cfg.Seeds)
 		}
 		peers = append(peers, st.Peers...)
@@ -124,17 +130,32 @@
 	if n.cfg.JoinOnly {
 		return lwfault.New(lwfault.Unavailable, "no replica belongs to a group yet")
 	}
-	members := make([]lwreplica.Member, 0, len(statuses))
-	for _, st := range statuses {
-		members = append(members, lwreplica.Member{ID: st.Replica, Address: st.Address, Domain: st.Domain})
-	}
-	first := slices.MinFunc(members, func(a, b lwreplica.Member) int {
-		return compareIDs(a.ID, b.ID)
-	})
-	if first.ID != n.id {
+	if first.Voters[0].ID != n.id {
 		return nil // the member with the lowest id sends methodInit
 	}
-	return n.bootstrapGroup(ctx, lwreplica.Membership{Voters: members})
+	return n.bootstrapGroup(ctx, first)
+}
+
+// firstMembership returns the membership of a group whose voters are the first
+// members, by id.
+func firstMembership(statuses []statusResult) lwreplica.Membership {
+	var m lwreplica.Membership
+	for _, st := range statuses {
+		m.Voters = append(m.Voters, lwreplica.Member{ID: st.Replica, Address: st.Address, Domain: st.Domain})
+	}
+	slices.SortFunc(m.Voters, func(a, b lwreplica.Member) int { return compareIDs(a.ID, b.ID) })
+	return m
+}
+
+// clusterName derives the name of a group from the ids of its first voters, so that
+// every attempt to bootstrap it uses the same name, also after a restart. A replica
+// that lost its disk has a new id, which makes it another group.
+func clusterName(m lwreplica.Membership) string {
+	h := sha256.New()
+	for _, v := range m.Voters {
+		fmt.Fprintf(h, "%s\n", v.ID)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:replicaIDBytes])
 }
 
 // memberStatuses returns the statuses of the seeds and of the members in a
@@ -215,11 +236,7 @@
 // saves it. A member accepts only if the membership names its identity, so a
 // replica whose disk was lost since it answered refuses.
 func (n *Node) bootstrapGroup(ctx context.Context, m lwreplica.Membership) error {
-	id, err := randomID()
-	if err != nil {
-		return err
-	}
-	params := initParams{id, m}
+	params := initParams{clusterName(m), m}
 	for _, member := range m.Voters {
 		if member.ID == n.id {
 			continue
@@ -231,7 +248,7 @@
 			return fmt.Errorf("bootstrap member %s: %w", member.Address, err)
 		}
 	}
-	return n.saveMembership(m, id)
+	return n.saveMembership(m, params.Cluster)
 }
 
 // onInit accepts the first membership of a group if this node is new and the
--- /dev/null
+++ b/internal/control/lwcontrol/bootstrap_test.go
@@ -0,0 +1,157 @@
+package lwcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwlease"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
+)
+
+// firstMember is a node of a group without a configured number of voters.
+type firstMember struct {
+	*Node
+	endpoint *lwrpc.Endpoint
+	folder   string
+}
+
+func (m *firstMember) start(t *testing.T, seeds []string) {
+	t.Helper()
+	n, err := Start(Config{
+		Name: m.endpoint.Address(), Address: m.endpoint.Address(), Domain: lwunit.FailureDomain(m.endpoint.Address()), Folder: m.folder, Seeds: seeds,
+		Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(), Dispatch: lwdispatch.DefaultConfig(),
+	}, m.endpoint, zap.NewNop())
+	is.New(t).NoErr(err)
+	m.Node = n
+}
+
+// handleInit replaces the answers to methodInit.
+func (m *firstMember) handleInit(f func(initParams) error) {
+	m.endpoint.Handle(methodInit, func(_ context.Context, _ *lwrpc.Session, params json.RawMessage) (any, error) {
+		p, err := lwlink.Decode[initParams](params)
+		if err != nil {
+			return nil, err
+		}
+		return struct{}{}, f(p)
+	})
+}
+
+// startFirstMembers starts three first members and lets onInit handle each
+// methodInit of the bootstrapping.
+func startFirstMembers(t *testing.T, onInit func(*firstMember, initParams) error) []*firstMember {
+	t.Helper()
+	var members []*firstMember
+	var seeds []string
+	for range 3 {
+		m := &firstMember{endpoint: newTestEndpoint(t), folder: t.TempDir()}
+		members = append(members, m)
+		seeds = append(seeds, m.endpoint.Address())
+	}
+	for _, m := range members {
+		m.start(t, seeds)
+		m.handleInit(func(p initParams) error { return onInit(m, p) })
+	}
+	t.Cleanup(func() {
+		for _, m := range members {
+			m.cancel()
+			<-m.done
+		}
+	})
+	return members
+}
+
+// expectOneGroup expects the members to form one group with a leader.
+func expectOneGroup(t *testing.T, members []*firstMember) {
+	t.Helper()
+	clusters := make(map[string]bool)
+	eventually(t, "each member belongs to a group with a leader", func() bool {
+		clear(clusters)
+		for _, m := range members {
+			m.mu.RLock()
+			clusters[m.contents.Identity.Cluster] = true
+			m.mu.RUnlock()
+			if m.Ready() != nil {
+				return false
+			}
+		}
+		return true
+	})
+	is.New(t).Equal(len(clusters), 1)
+}
+
+var errLost = lwfault.New(lwfault.Unavailable, "the answer is lost")
+
+// A first member accepts the membership, but its answer is lost. The sender must
+// complete the group: one voter of three can't elect a leader.
+func TestBootstrapSurvivesLostAnswer(t *testing.T) {
+	var once sync.Once
+	expectOneGroup(t, startFirstMembers(t, func(m *firstMember, p initParams) error {
+		err := m.onInit(p)
+		once.Do(func() { err = errLost })
+		return err
+	}))
+}
+
+// The membership of an earlier attempt reaches a first member just before that of
+// a later one. Both must have the same cluster name.
+func TestBootstrapSurvivesDelayedInit(t *testing.T) {
+	var mu sync.Mutex
+	var delayed *initParams
+	expectOneGroup(t, startFirstMembers(t, func(m *firstMember, p initParams) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if delayed == nil {
+			delayed = &p
+			return errLost
+		}
+		if err := m.onInit(*delayed); err != nil {
+			return err
+		}
+		return m.onInit(p)
+	}))
+}
+
+// The sender of the membership restarts after the first of two members has
+// accepted it. It must complete the group under the same cluster name.
+func TestBootstrapSurvivesRestartOfSender(t *testing.T) {
+	var mu sync.Mutex
+	var accepted *firstMember
+	restarted := false
+	onInit := func(m *firstMember, p initParams) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if accepted != nil && !restarted {
+			return errLost
+		}
+		accepted = m
+		return m.onInit(p)
+	}
+	members := startFirstMembers(t, onInit)
+	eventually(t, "a member has accepted", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return accepted != nil
+	})
+	sender := members[0]
+	for _, m := range members {
+		if m.id < sender.id {
+			sender = m
+		}
+	}
+	sender.Stop(t.Context())
+	sender.start(t, sender.cfg.Seeds)
+	mu.Lock()
+	restarted = true
+	mu.Unlock()
+	expectOneGroup(t, members)
+}
