Derive a pending repair of the group from its membership

The leader remembered for ever which learners it had begun to promote and which voter an operator had named for an address. A replica that was promoted, removed and joined again, or a new one at such an address, was promoted without a removal, so that a group of three had four voters and survived one loss less of them; or it removed a voter that nobody had named. A new leader lacked that memory: after the removal of one voter it removed a second one that was silent, for the same learner, and an idle learner could take the place of the one that the operator had named twice.

Whether a removal is pending now follows from the number of voters, which is odd otherwise, and within a term from the number before the removal. A command of an operator holds in its term only and until its learner has been promoted. It is refused if it names no voter of a complete group. A replica that was added later, whose seeds also name itself, no longer lets an idle learner in as a fourth voter.

Of the new tests five failed before, for example with "a c d e != a c e", "a c d2 != a b2 c" and "a b c f != a b c d f" (voters got and wanted). A group that is bootstrapped with an even number of voters still depends on the memory of the leader, as its number does not show a pending removal.

--- a/internal/control/lwcontrol/bootstrap.go
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -303,7 +303,7 @@
 // requestJoin asks the leader to add this replica as a learner, starting at the
 // given addresses and following one redirect each, and saves the membership unless
 // this node belongs to a group already.
-// The leader promotes the learner once it has caught up and shouldPromote holds.
+// The leader promotes the learner once it has caught up and the group needs a voter.
 func (n *Node) requestJoin(ctx context.Context, addresses []string) error {
 	self := lwreplica.Member{ID: n.id, Address: n.cfg.Address, Domain: n.cfg.Domain}
 	var lastErr error
@@ -415,13 +415,15 @@
 		return nil
 	case !hasAddress(v.membership.Learners, p.New):
 		return lwfault.New(lwfault.NotFound, "no replica at %s has joined as a learner; start one there first", p.New)
+	case !hasAddress(v.membership.Voters, p.Old) && !n.removalPending(v) && len(v.membership.Voters) >= n.targetVoters():
+		return lwfault.New(lwfault.NotFound, "no voter is at %s", p.Old)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.replacements == nil {
-		n.replacements = make(map[string]string)
+		n.replacements = make(map[string]replacement)
 	}
-	n.replacements[p.New] = p.Old
+	n.replacements[p.New] = replacement{p.Old, v.term}
 	return nil
 }
 
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -71,9 +71,9 @@
 	id       lwunit.ReplicaID // of this replica; the rest of contents.Identity changes when the node joins a group
 
 	mu           sync.RWMutex
-	replica      *replica                  // nil until the node belongs to a group
-	replacements map[string]string         // address of a learner to that of the voter it is to replace
-	promoting    map[lwunit.ReplicaID]bool // learners whose promotion has begun
+	replica      *replica               // nil until the node belongs to a group
+	replacements map[string]replacement // by address of the learner
+	lastRemoval  removal
 
 	initialMembership chan lwreplica.Membership // saved by onInit; ends join
 	watchers          *watchers
