Refuse a job whose id is taken in another queue

Callers choose the ids of jobs for each queue, but the table of jobs has one key per id. A submission with the id of a job of another queue was answered as accepted and not stored: the caller's job never ran, and a GET for it was answered with 410.

The command that accepts a job now reports a conflict if the id belongs to another queue, so the caller gets 409 and can choose another id. The decision is made where the command is applied, since two submissions may both be admitted before either is committed. A resend in the same queue is accepted as before, and one that is committed twice is counted as a resend.

TestJobIDTakenInAnotherQueue failed before with "internal != conflict" (no error), and TestSubmissionsOfJobIDRace/in_two_queues with "/a/j != /b/j": both submissions were accepted and one job was stored.

--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -87,24 +87,37 @@
 func (n *Node) submitQueueJob(ctx context.Context, r *replica, _ *lwrpc.Session, p lwlink.SubmitQueueJob) (empty, error) {
 	job, known, err := n.admitJob(r, p)
 	if err != nil {
-		jobsRefused.Add(1)
-		f := lwfault.As(err)
-		n.decisionLog.Info(string(lwdispatch.DecidedAdmission), zap.String("path", p.Target.Path), zap.String("outcome", string(f.Kind)), zap.String("reason", f.Detail))
+		n.refuseJob(p.Target, err)
 		return empty{}, err
 	}
 	if known {
 		jobsResent.Add(1)
 		return empty{}, nil
 	}
-	if _, err := n.commit(ctx, r, lwstate.AcceptQueueJob{Job: job}); err != nil {
+	res, err := n.commit(ctx, r, lwstate.AcceptQueueJob{Job: job})
+	switch {
+	case res.Err != nil:
+		n.refuseJob(p.Target, res.Err)
+		return empty{}, res.Err
+	case err != nil:
 		n.decisionLog.Info(string(lwdispatch.DecidedAdmission), zap.String("job", string(job.Spec.ID)), zap.String("outcome", "unknown"), zap.Error(err))
 		return empty{}, err
+	case !res.Fresh: // another submission of the job was committed meanwhile
+		jobsResent.Add(1)
+		return empty{}, nil
 	}
 	jobsAccepted.Add(1)
 	n.decisionLog.Info(string(lwdispatch.DecidedAdmission), zap.String("job", string(job.Spec.ID)), zap.String("queue", job.Queue.Name), zap.String("outcome", "accepted"))
 	return empty{}, nil
 }
 
+// refuseJob counts and logs a submission that is refused.
+func (n *Node) refuseJob(target lwlink.RequestTarget, err error) {
+	jobsRefused.Add(1)
+	f := lwfault.As(err)
+	n.decisionLog.Info(string(lwdispatch.DecidedAdmission), zap.String("path", target.Path), zap.String("outcome", string(f.Kind)), zap.String("reason", f.Detail))
+}
+
 // admitJob checks a job and returns its record. Known is set if the queue has
 // accepted a job with this id before and still keeps it.
 func (n *Node) admitJob(r *replica, p lwlink.SubmitQueueJob) (job lwjob.Job, known bool, err error) {
--- /dev/null
+++ b/internal/control/lwcontrol/queue_test.go
@@ -0,0 +1,122 @@
+package lwcontrol
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwlog"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
+	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/control/lwwal"
+)
+
+// newQueueNode returns the node of a group of one replica that leads, with the
+// queues /a/ and /b/.
+func newQueueNode(t *testing.T) (*Node, *replica, *lwdisk.Memory) {
+	t.Helper()
+	is := is.New(t)
+	disk := lwdisk.NewMemory()
+	wal, contents, err := lwwal.Open(disk, lwwal.Identity{Replica: "r"})
+	is.NoErr(err)
+	contents.State.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
+	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
+	is.NoErr(err)
+	n := &Node{log: zap.NewNop(), decisionLog: lwlog.NewRateLimitedLogger(zap.NewNop(), decisionsPerSecond), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}}
+	n.dispatcher = newDispatcher(n)
+	r.onApply = n.dispatcher.onApplied
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(<-ended)
+	})
+	eventually(t, "the replica leads", func() bool {
+		if n.dispatcher.lockAsLeader(r) != nil {
+			return false
+		}
+		n.dispatcher.mu.Unlock()
+		return true
+	})
+	doc := lwconfig.Document{Version: 1}
+	for _, prefix := range []string{"/a/", "/b/"} {
+		doc.Queues = append(doc.Queues, lwconfig.Queue{Key: lwconfig.QueueKey{Host: "h", Prefix: prefix}})
+	}
+	_, res, err := r.propose(ctx, lwstate.Configure{Document: doc})
+	is.NoErr(errors.Join(err, res.Err))
+	return n, r, disk
+}
+
+func submitTestJob(t *testing.T, n *Node, r *replica, path string) error {
+	t.Helper()
+	spec := lwjob.Spec{Text: path, Steps: []lwjob.Step{{Count: 1}}}
+	_, err := n.submitQueueJob(t.Context(), r, nil, lwlink.SubmitQueueJob{Target: lwlink.RequestTarget{Host: "h", Path: path}, Spec: spec})
+	return err
+}
+
+// Callers choose the ids of jobs for each queue. A job whose id is taken in another
+// queue is not stored and must not be answered as accepted.
+func TestJobIDTakenInAnotherQueue(t *testing.T) {
+	is := is.New(t)
+	n, r, _ := newQueueNode(t)
+	is.NoErr(submitTestJob(t, n, r, "/a/j"))
+	is.Equal(lwfault.KindOf(submitTestJob(t, n, r, "/b/j")), lwfault.Conflict)
+	is.NoErr(submitTestJob(t, n, r, "/a/j")) // a resend
+	is.NoErr(submitTestJob(t, n, r, "/b/k"))
+}
+
+// Two submissions with the same id are admitted before either is committed. The
+// commit that comes second must be refused, unless it is a resend.
+func TestSubmissionsOfJobIDRace(t *testing.T) {
+	cases := []struct {
+		name, first, second string
+		accepted            int
+	}{{"in two queues", "/a/j", "/b/j", 1}, {"in the same queue", "/a/j", "/a/j", 2}}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			n, r, disk := newQueueNode(t)
+			stopped, resume := make(chan struct{}), make(chan struct{})
+			var once sync.Once
+			disk.SetFault(func(int, string, string) lwdisk.Fault {
+				once.Do(func() { close(stopped) })
+				<-resume
+				return lwdisk.Fault{}
+			})
+			type answer struct {
+				path string
+				err  error
+			}
+			answers := make(chan answer, 2)
+			submit := func(path string) { answers <- answer{path, submitTestJob(t, n, r, path)} }
+			go submit(x.first)
+			<-stopped
+			go submit(x.second)
+			eventually(t, "the second submission is proposed", func() bool { return len(r.events) == 1 })
+			close(resume)
+			accepted := 0
+			for range 2 {
+				a := <-answers
+				if a.err != nil {
+					is.Equal(lwfault.KindOf(a.err), lwfault.Conflict)
+					continue
+				}
+				accepted++
+				r.read(func(s *lwstate.State) { is.Equal(s.Queues().Job("j").Spec.Text, a.path) })
+			}
+			is.Equal(accepted, x.accepted)
+		})
+	}
+}
--- a/internal/control/lwstate/queue.go
+++ b/internal/control/lwstate/queue.go
@@ -1,6 +1,7 @@
 package lwstate
 
 import (
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
@@ -12,7 +13,8 @@
 	Document lwconfig.Document `json:"document"`
 }
 
-// AcceptQueueJob adds a job of a queue. It has no effect if the job exists.
+// AcceptQueueJob adds a job of a queue. It has no effect if the job exists, and is
+// refused if another queue has a job with its id.
 type AcceptQueueJob struct {
 	Job lwjob.Job `json:"job"`
 }
@@ -77,6 +79,9 @@
 	case AcceptQueueJob:
 		c.Job.Accepted = s.c.Clock
 		res.Fresh = s.queues.Accept(c.Job)
+		if kept := s.queues.Job(c.Job.Spec.ID).Spec.Queue; kept != c.Job.Spec.Queue {
+			res.Err = lwfault.New(lwfault.Conflict, "the id %s is taken by a job of another queue", c.Job.Spec.ID)
+		}
 	case CancelQueueJob:
 		res.Fresh = s.queues.Cancel(c.Job, s.c.Clock)
 	case RecordRuns:
