Let Stop return while the driver of a leader reads nothing

Stop of a leading replica first asks the driver to transfer leadership. It sent the event without regard to its context, so it blocked for ever on a full queue that the driver did not read, as while the disk hangs. If the driver had ended after a disk error, Stop waited for the whole context for a view that nobody updates.

Both waits now also end with the context and with the node.

TestStopOfLeaderThatDoesNotRead failed before: with a full queue by "deadlock: all goroutines in bubble are blocked", and for a driver that has ended since Stop took the minute of the context.

--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -147,7 +147,7 @@
 }
 
 // transferLeadership moves leadership, if this replica has it, to the voter
-// whose log matches the leader's furthest.
+// whose log matches the leader's furthest. It returns early if the node ends.
 func (n *Node) transferLeadership(ctx context.Context) {
 	r := n.currentReplica()
 	if r == nil {
@@ -167,9 +167,17 @@
 	if len(others) == 0 {
 		return
 	}
-	r.events <- event{body: lwreplica.TransferLeadership{To: others[0].member.ID}}
+	select {
+	case r.events <- event{body: lwreplica.TransferLeadership{To: others[0].member.ID}}:
+	case <-n.done:
+		return
+	case <-ctx.Done():
+		return
+	}
 	for r.currentView().role == lwreplica.Leader {
 		select {
+		case <-n.done:
+			return // the view is no longer updated
 		case <-ctx.Done():
 			return
 		case <-time.After(tickInterval):
