--- a/internal/control/lwcontrol/disk_test.go
+++ b/internal/control/lwcontrol/disk_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -77,6 +79,36 @@
 	is.NoErr(<-ended)
 }
 
+// A write fails while a snapshot is being written in the background. The replica
+// must not end before the snapshot does, since its owner closes the data folder next.
+func TestReplicaThatFailsWaitsForSnapshot(t *testing.T) {
+	is := is.New(t)
+	disk := lwdisk.NewMemory()
+	wal, contents, err := lwwal.Open(disk, lwwal.Identity{Replica: "r"})
+	is.NoErr(err)
+	contents.State.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
+	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
+	is.NoErr(err)
+	failed := make(chan struct{})
+	var once sync.Once
+	errDisk := errors.New("input/output error")
+	disk.SetFault(func(int, string, string) lwdisk.Fault {
+		once.Do(func() { close(failed) })
+		return lwdisk.Fault{Err: errDisk}
+	})
+	r.snapshotting = true
+	ended := make(chan error, 1)
+	go func() { ended <- r.run(t.Context()) }()
+	<-failed
+	select {
+	case <-ended:
+		t.Fatal("the replica ended while a snapshot was being written")
+	case <-time.After(100 * time.Millisecond):
+	}
+	r.snapshotDone <- snapshotResult{}
+	is.True(errors.Is(<-ended, errDisk))
+}
+
 func eventually(t *testing.T, condition string, ok func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -164,10 +164,7 @@
 		var batch []event
 		select {
 		case <-ctx.Done():
-			r.failWaiters(ctx.Err())
-			if r.snapshotting {
-				<-r.snapshotDone // it still writes to the data folder, which is closed next
-			}
+			r.end(ctx.Err())
 			return nil
 		case <-ticker.C:
 			batch = append(batch, event{body: lwreplica.Tick{}})
@@ -179,12 +176,21 @@
 		}
 		batch = append(r.gather(batch), event{body: lwreplica.Flush{}})
 		if err := r.step(ctx, batch); ctx.Err() == nil && err != nil {
-			r.failWaiters(err)
+			r.end(err)
 			return fmt.Errorf("control replica: %w", err)
 		}
 	}
 }
 
+// end fails the waiters and waits for a snapshot that is being written to the data
+// folder, which the owner closes next.
+func (r *replica) end(cause error) {
+	r.failWaiters(cause)
+	if r.snapshotting {
+		<-r.snapshotDone
+	}
+}
+
 // checkDisk makes the replica refuse commands while free space is below minFreeDisk,
 // which is left for commands accepted earlier, and accept them again afterwards.
 func (r *replica) checkDisk() {
