Repeat a failed record of interference

The core marked a learned gain as recorded when it was proposed. If the proposal failed, as without a quorum, the gain was not proposed again until it had changed by 30 percent, so the next leader had to learn it again at the cost of delayed requests. Two proposals could also be in flight at once, and the older one could be committed last.

The dispatcher now tells the core that gains are recorded once they are committed, and proposes them one proposal at a time, as it does for ends and the roster. TestFailedRecordOfInterferenceIsRepeated failed before with "timed out waiting until the proposal is repeated".

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -64,6 +64,7 @@
 	pendingRoster          lwstate.ChangeRoster   // to be proposed
 	rosterInFlight         bool                   // a proposal of roster changes is in flight
 	jobsRemovedAt          time.Duration          // on the replica's clock, when removeEndedJobs last looked for jobs to remove
+	interferenceInFlight   bool                   // a proposal of interference is in flight
 	interferenceRecordedAt time.Duration          // on the replica's clock, when recordInterference last looked for changes
 }
 
@@ -116,6 +117,7 @@
 	d.sessions = make(map[lwjob.WorkerIncarnation]*lwrpc.Session)
 	d.pendingEnds, d.pendingPlacements, d.recordInFlight = nil, nil, false
 	d.pendingRoster, d.rosterInFlight = lwstate.ChangeRoster{}, false
+	d.interferenceInFlight = false
 	roster, jobs := 0, 0
 	r.read(func(s *lwstate.State) {
 		d.startRevision = s.Revision()
--- a/internal/control/lwcontrol/dispatch_record.go
+++ b/internal/control/lwcontrol/dispatch_record.go
@@ -108,15 +108,32 @@
 
 // recordInterference proposes to record the interference learned between pairs of
 // images, so that the next leader need not learn it again at the cost of delayed
-// requests. The caller holds mu.
+// requests. What a failed proposal was to record is proposed again. The caller holds
+// mu.
 func (d *dispatcher) recordInterference(ctx context.Context, r *replica) {
-	if r.now()-d.interferenceRecordedAt < interferenceRecordInterval {
+	if d.interferenceInFlight || r.now()-d.interferenceRecordedAt < interferenceRecordInterval {
 		return
 	}
 	d.interferenceRecordedAt = r.now()
-	if pairs := d.core.ChangedInterference(); len(pairs) > 0 {
-		go d.propose(ctx, r, lwstate.RecordInterference{Pairs: pairs})
+	pairs, term := d.core.ChangedInterference(), d.term
+	if len(pairs) == 0 {
+		return
 	}
+	d.interferenceInFlight = true
+	go func() {
+		_, _, err := r.propose(ctx, lwstate.RecordInterference{Pairs: pairs})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.term != term {
+			return // the core of the newer term was made from the interference as recorded
+		}
+		d.interferenceInFlight = false
+		if err != nil {
+			d.node.log.Warn("cannot record interference yet", zap.Int("pairs", len(pairs)), zap.Error(err))
+			return
+		}
+		d.core.InterferenceRecorded(pairs)
+	}()
 }
 
 // removeEndedJobs proposes to remove the jobs of queues that ended more than
--- a/internal/control/lwcontrol/dispatch_test.go
+++ b/internal/control/lwcontrol/dispatch_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwclock"
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
@@ -102,3 +104,65 @@
 	is.Equal(len(c.Enrol), 1)
 	is.Equal(len(c.Dismiss), 0)
 }
+
+// learnInterference lets the core of a dispatcher learn the interference of a filling
+// task with a serving one, both of which a worker lists as running.
+func learnInterference(t *testing.T, d *dispatcher) {
+	t.Helper()
+	info := lwdispatch.WorkerInfo{
+		Incarnation: lwjob.WorkerIncarnation{Worker: "w", StartedAt: 1}, Agent: "a", Service: "s",
+		Capacity: lwunit.Resources{Millicores: 4000, Memory: lwunit.MiB},
+	}
+	m := lwdispatch.Report{
+		Info: info, Complete: true, Token: d.core.Report(lwdispatch.Report{Info: info}).Token,
+		Running: []lwdispatch.RunStatus{{Task: "fill.0.0.0", Run: 1, Progress: 50, Gauge: 3000}, {Task: "serve.0.0.0", Run: 1, Progress: 100, Gauge: 30}},
+	}
+	for i := range 10 {
+		d.core.Advance(time.Duration(i+1)*time.Second, lwunit.Millis(i))
+		m.Clock = lwunit.Millis(i + 1)
+		d.core.Report(m)
+		d.core.Tick()
+		d.core.Schedule()
+	}
+}
+
+// A proposal that records learned interference fails. It must be repeated, or the next
+// leader would learn the interference again, and only until it has succeeded.
+func TestFailedRecordOfInterferenceIsRepeated(t *testing.T) {
+	is := is.New(t)
+	state := lwstate.New()
+	q := lwconfig.Queue{Key: lwconfig.QueueKey{Host: "h", Prefix: "/q/"}, Service: "s"}
+	state.Apply(1, 1, lwstate.Configure{Document: lwconfig.Document{Version: 1, Queues: []lwconfig.Queue{q}, Services: []lwconfig.Service{{Name: "s"}}}})
+	for id, step := range map[lwunit.JobID]lwjob.Step{
+		"fill":  {Count: 1, Image: "f", Filling: true, Need: lwunit.Resources{Millicores: 3000}},
+		"serve": {Count: 1, Image: "s", LongRunning: true, TailTarget: lwunit.Duration(50 * time.Millisecond), Need: lwunit.Resources{Millicores: 1000}},
+	} {
+		state.Apply(2, 2, lwstate.AcceptQueueJob{Job: lwjob.Job{Spec: lwjob.Spec{ID: id, Queue: q.Key, Steps: []lwjob.Step{step}}, Queue: q, Term: 1}})
+	}
+	r := &replica{state: state, clock: lwclock.New(), events: make(chan event, 1)}
+	d := newDispatcher(&Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}})
+	d.beginTerm(r, 2)
+	learnInterference(t, d)
+
+	record := func() *event { // lets the dispatcher look for changes and returns the proposal, if there is one
+		d.mu.Lock()
+		d.interferenceRecordedAt = r.now() - interferenceRecordInterval
+		d.recordInterference(t.Context(), r)
+		d.mu.Unlock()
+		select {
+		case e := <-r.events:
+			return &e
+		case <-time.After(50 * time.Millisecond):
+			return nil
+		}
+	}
+	first := record()
+	is.True(first != nil)
+	first.waiter.finish(lwfault.New(lwfault.Unavailable, "no quorum"))
+	var second *event
+	eventually(t, "the proposal is repeated", func() bool { second = record(); return second != nil })
+	is.True(record() == nil) // while the second is in flight
+	second.waiter.finish(nil)
+	time.Sleep(20 * time.Millisecond)
+	is.True(record() == nil)
+}
--- a/internal/control/lwdispatch/interference.go
+++ b/internal/control/lwdispatch/interference.go
@@ -250,19 +250,27 @@
 const recordThreshold = 0.3
 
 // ChangedInterference returns the gains that were never recorded or have changed
-// considerably since they were, and marks them as recorded.
+// considerably since they were. InterferenceRecorded marks them as recorded.
 func (c *Core) ChangedInterference() []lwjob.Interference {
 	var list []lwjob.Interference
 	for k, g := range c.gains {
 		if g.recorded && math.Abs(g.mean-g.recordedMean) < max(1, recordThreshold*g.recordedMean) {
 			continue
 		}
-		g.recordedMean, g.recorded = g.mean, true
 		list = append(list, lwjob.Interference{FillingImage: k.filling, ServingImage: k.serving, Gain: g.mean, Variance: g.variance})
 	}
 	return list
 }
 
+// InterferenceRecorded tells the core that gains are committed.
+func (c *Core) InterferenceRecorded(list []lwjob.Interference) {
+	for _, pair := range list {
+		if g := c.gains[imagePair{pair.FillingImage, pair.ServingImage}]; g != nil {
+			g.recordedMean, g.recorded = pair.Gain, true
+		}
+	}
+}
+
 // restore loads the gains that an earlier leader recorded.
 func (p pairGains) restore(list []lwjob.Interference, now time.Duration) {
 	for _, pair := range list {
