Remove a job's tasks with it if its retention is short

They stayed in the state for good. If a job with the same id was submitted later, its tasks were listed twice, or more were listed than it has, and an old failed one made it fail.

Cause: the tasks were removed only by folding, which waits for an hour. The index of tasks by job is derived, and held tasks of a removed job under an id that could be used again.

TestJobOfShortRetentionLeavesNoTasks failed: "not true: !ok" for the left task, and with that check taken out "invalid memory address or nil pointer dereference" in foldTasks. The tasks now go with their job.

--- a/internal/control/lwstate/claim.go
+++ b/internal/control/lwstate/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
 
 // mapKey returns the key under which the claim is stored.
@@ -79,6 +80,7 @@
 			s.foldTasks(j)
 		}
 		if j.Finished.Add(retention) <= s.c.Clock {
+			s.dropTasks(id) // not folded yet if the retention is shorter than taskRetention
 			delete(s.c.Jobs, id)
 		}
 	}
@@ -101,12 +103,19 @@
 		j.Failures += t.Failures
 		j.Evictions += t.Evictions
 		j.LostAttempts += t.LostAttempts
-		delete(s.c.Tasks, id)
 	}
-	delete(s.taskIDsByJob, j.Spec.ID)
+	s.dropTasks(j.Spec.ID)
 	j.Folded = true
 }
 
+// dropTasks removes the tasks of a job, all of which have ended.
+func (s *State) dropTasks(job lwunit.JobID) {
+	for _, id := range s.taskIDsByJob[job] {
+		delete(s.c.Tasks, id)
+	}
+	delete(s.taskIDsByJob, job)
+}
+
 // NeedsSweep reports whether a sweep would remove or fold anything.
 func (s *State) NeedsSweep() bool {
 	for _, claim := range s.c.Claims {
--- a/internal/control/lwstate/job.go
+++ b/internal/control/lwstate/job.go
@@ -65,6 +65,7 @@
 	}
 	j := &Job{Spec: spec, Phase: JobActive, Submitted: s.c.Clock, TasksLeft: spec.Tasks}
 	s.c.Jobs[spec.ID] = j
+	s.dropTasks(spec.ID) // earlier versions left some of a removed job with the same id
 	for i := range spec.Tasks {
 		t := &Task{ID: lwunit.TaskID(fmt.Sprintf("%s/%d", spec.ID, i)), Job: spec.ID, Phase: TaskQueued, Queued: s.c.Clock}
 		s.c.Tasks[t.ID] = t
