Read a negative size as it was written, and refuse one out of range

What operators saw: if one worker had less memory than the services on it reserve, the list of all workers failed with "size must carry a unit". A size over 8EiB, such as 10EB, was read as a negative one. Nothing that this program sends puts a negative size into the log, since a receiver could not read it. But a proposal with 10EB from any other client of the RPC port was decoded, encoded again as a negative size and committed, and every replica ends at an entry that it cannot decode, again after each restart.

Cause: Bytes is written with its sign and was read without one, by a parser of unsigned numbers whose result was converted unchecked.

--- a/internal/base/lwunit/quantity.go
+++ b/internal/base/lwunit/quantity.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"strings"
 	"time"
 
 	"github.com/dustin/go-humanize"
@@ -58,17 +60,25 @@
 	return fmt.Sprintf("%dB", int64(b))
 }
 
-// UnmarshalJSON reads a string with a unit. A number without one counts bytes.
+// UnmarshalJSON reads a string with a unit, as String writes it. A number without one
+// counts bytes.
 func (b *Bytes) UnmarshalJSON(data []byte) error {
 	var text string
 	if err := json.Unmarshal(data, &text); err != nil {
 		return &FormatError{string(data), "size must be a string with a unit, such as \"64MiB\"", err}
 	}
-	n, err := humanize.ParseBytes(text)
+	size, negative := strings.CutPrefix(text, "-")
+	n, err := humanize.ParseBytes(size)
 	if err != nil {
 		return &FormatError{string(data), "size must carry a unit, such as \"64MiB\"", err}
 	}
+	if n > math.MaxInt64 && (!negative || n > 1<<63) {
+		return &FormatError{string(data), "size must be less than 8EiB", nil}
+	}
 	*b = Bytes(n)
+	if negative {
+		*b = -*b
+	}
 	return nil
 }
 
--- a/internal/base/lwunit/quantity_test.go
+++ b/internal/base/lwunit/quantity_test.go
@@ -16,9 +16,11 @@
 	// Output: 250GB 64MiB 1500B 1501B
 }
 
+// A log entry or an answer that holds a size must be readable again, also a negative
+// one, such as the free memory of a worker that is overcommitted.
 func TestBytesJSONRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := lwunit.Bytes(rapid.Int64Range(0, 1<<50).Draw(t, "bytes"))
+		b := lwunit.Bytes(rapid.Int64().Draw(t, "bytes"))
 		data, err := json.Marshal(b)
 		if err != nil {
 			t.Fatal(err)
@@ -30,6 +32,18 @@
 	})
 }
 
+// A size beyond the range must be refused, not read as a negative one.
+func TestBytesOutOfRangeAreRefused(t *testing.T) {
+	for _, text := range []string{"10EB", "9.3EB", "8EiB", "-9.3EB", "-10EB", "--1B", "-", "-+1B", "16EiB", "1e30"} {
+		t.Run(text, func(t *testing.T) {
+			var b lwunit.Bytes
+			if err := json.Unmarshal(fmt.Appendf(nil, "%q", text), &b); err == nil {
+				t.Errorf("%s was decoded as %d; want an error", text, b)
+			}
+		})
+	}
+}
+
 func TestResourcesFit(t *testing.T) {
 	is := is.New(t)
 	available := lwunit.Resources{Millicores: 10, Memory: 10, Accelerators: 1}
--- a/internal/control/lwstate/queue_test.go
+++ b/internal/control/lwstate/queue_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// Every entry that can be encoded must be decoded again: replicas end at a committed entry
+// that they cannot decode.
+func TestCommandWithNegativeSizeIsDecoded(t *testing.T) {
+	is := is.New(t)
+	c := lwstate.ResizeTasks{Resizes: []lwstate.Resize{{Task: "j/0", Token: 1, Reserve: lwunit.Resources{Memory: -lwunit.GiB}}}}
+	data, err := lwstate.EncodeCommand(c, 1)
+	is.NoErr(err)
+	decoded, _, err := lwstate.DecodeCommand(data)
+	is.NoErr(err)
+	is.Equal(decoded, c)
+}
+
 // failer is a *testing.T or a *rapid.T.
 type failer interface {
 	Helper()
