Refuse a job with more tasks than a leader can hold

What callers saw: nothing until such a job arrives. The limit of 20000 tasks was of one occurrence, the number of occurrences had none, and the sum over the steps could overflow. Each leader builds every task of every occurrence when it learns of the job, and at the start of its term, so it would run out of memory, and the next leader after it.

Cause: Spec.Check did not bound what the accepted job makes every later leader do.

TestJobWithTooManyTasksIsRefused failed: "steps of [1] tasks times: <nil>", and the same for [20000] times and for steps whose sum is 1. A job that is stored already is kept as it is.

--- a/internal/control/lwjob/spec.go
+++ b/internal/control/lwjob/spec.go
@@ -54,6 +54,7 @@
 	maxTextBytes = 4000 // of Spec.Text
 	maxSteps     = 256
 	maxTasks     = 20000 // of one occurrence
+	maxAllTasks  = 50000 // of all occurrences; each leader keeps them in memory
 )
 
 // Check returns an error if the job can never be accepted.
@@ -73,6 +74,9 @@
 		if st.Count <= 0 || st.Need.Negative() || st.Estimate < 0 || st.MaxPerWorker < 0 {
 			return lwfault.New(lwfault.Invalid, "step %d must have a count greater than 0 and no negative amounts", i)
 		}
+		if st.Count > maxTasks-tasks {
+			return lwfault.New(lwfault.Invalid, "the job has more than %d tasks", maxTasks)
+		}
 		tasks += st.Count
 		for _, d := range st.DependsOn {
 			if d < 0 || d >= i {
@@ -80,8 +84,8 @@
 			}
 		}
 	}
-	if tasks > maxTasks {
-		return lwfault.New(lwfault.Invalid, "the job has %d tasks; the limit is %d", tasks, maxTasks)
+	if s.Occurrences() > maxAllTasks/tasks {
+		return lwfault.New(lwfault.Invalid, "the job has %d tasks %d times; the limit is %d in all", tasks, s.Occurrences(), maxAllTasks)
 	}
 	return nil
 }
