List a job's tasks in one order, restored or not

No other difference follows as far as is known: at most one task of a job fails, so the reason of a failed job does not depend on the order.

Cause: the index is derived. A submission fills it by number, a restore sorted it by text.

--- a/internal/control/lwstate/queue_test.go
+++ b/internal/control/lwstate/queue_test.go
@@ -1,6 +1,7 @@
 package lwstate_test
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -78,6 +79,13 @@
 	if hash != replicaHash {
 		t.Fatal("the state of a replica restored from a snapshot differs")
 	}
+	expectEqualDerived(t, d.s, d.replica)
+	if d.clone == nil {
+		return
+	}
+	if data, err := d.clone.Snapshot(); err != nil || !bytes.Equal(data, d.cloneData) {
+		t.Fatal("a clone for a snapshot changed with the state:", err)
+	}
 }
 
 func queueTask(t *rapid.T) lwunit.TaskID {
@@ -128,7 +136,7 @@
 		},
 		"interference": func(t *rapid.T) {
 			d.apply(lwstate.RecordInterference{Pairs: []lwjob.Interference{{
-				FillingImage: rapid.SampledFrom([]string{"f", "g"}).Draw(t, "filling"), ServingImage: "s", Gain: 1,
+				FillingImage: rapid.SampledFrom([]string{"f", "g"}).Draw(t, "filling"), ServingImage: "s", Gain: rapid.Float64Range(0, 200).Draw(t, "gain"),
 			}}})
 		},
 		"remove": func(t *rapid.T) {
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -1,6 +1,7 @@
 package lwstate
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -164,11 +165,17 @@
 		s.taskIDsByJob[t.Job] = append(s.taskIDsByJob[t.Job], t.ID)
 		s.addToIndexes(t)
 	}
-	for id := range s.taskIDsByJob {
-		sort.Slice(s.taskIDsByJob[id], func(i, j int) bool { return s.taskIDsByJob[id][i] < s.taskIDsByJob[id][j] })
+	for _, ids := range s.taskIDsByJob {
+		slices.SortFunc(ids, compareTaskIDs)
 	}
 }
 
+// compareTaskIDs orders the tasks of one job by their numbers, the order in which
+// submitJob lists them.
+func compareTaskIDs(a, b lwunit.TaskID) int {
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
+}
+
 // buildBackendIndex lists the backend servers of each worker. It rebuilds the
 // whole index, because backend servers change rarely.
 func (s *State) buildBackendIndex() {
--- a/internal/control/lwstate/state_test.go
+++ b/internal/control/lwstate/state_test.go
@@ -31,6 +31,8 @@
 	s, replica *lwstate.State
 	rev        lwunit.Revision
 	clock      lwunit.Millis
+	clone      *lwstate.State // of s at the last reload
+	cloneData  []byte         // its snapshot
 }
 
 func newDriver() *driver {
@@ -54,6 +56,11 @@
 
 // reload replaces the replica by one restored from a snapshot of its clone.
 func (d *driver) reload() error {
+	var err error
+	d.clone = d.s.Clone()
+	if d.cloneData, err = d.clone.Snapshot(); err != nil {
+		return err
+	}
 	clone := d.replica.Clone()
 	d.apply(lwstate.Sweep{}) // must not affect the clone
 	data, err := clone.Snapshot()
