Keep the dispatcher of a newer term from a late caller

What could be seen: if a caller waited for the dispatcher's lock while this replica lost its leadership and won it again, it could replace the core of the newer term by one of its old term, and the next call by a second core of the newer one. That core knew no worker, and gave out the same tokens and run numbers again, so that an order of the first core which was still on its way could start a task twice.

Cause: the term was read before the lock was taken, and not again. TestLateCallerDoesNotReplaceCoreOfNewerTerm failed with "not true: d.core == core". A caller whose term has passed is now refused as not leader, and asks again.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -101,6 +101,10 @@
 		return &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddress}
 	}
 	d.mu.Lock()
+	if now := r.currentView(); now.term != v.term {
+		d.mu.Unlock()
+		return &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: now.leaderAddress}
+	}
 	if d.core == nil || d.term != v.term {
 		d.beginTerm(r, v.term)
 	}
--- a/internal/control/lwcontrol/dispatch_test.go
+++ b/internal/control/lwcontrol/dispatch_test.go
@@ -166,3 +166,33 @@
 	time.Sleep(20 * time.Millisecond)
 	is.True(record() == nil)
 }
+
+// A caller waits for the lock while this replica loses its leadership and wins it again. It
+// must not replace the core of the newer term, which would hand out the same tokens and
+// run numbers twice.
+func TestLateCallerDoesNotReplaceCoreOfNewerTerm(t *testing.T) {
+	is := is.New(t)
+	leads := func(term lwreplica.Term) view {
+		return view{role: lwreplica.Leader, term: term, holdsLease: true, leaseEnd: time.Hour}
+	}
+	r := &replica{state: lwstate.New(), view: leads(2), clock: lwclock.New()}
+	d := newDispatcher(&Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}})
+	d.mu.Lock()
+	d.beginTerm(r, 2)
+	locked := make(chan error)
+	go func() { locked <- d.lockAsLeader(r) }()
+	time.Sleep(20 * time.Millisecond) // until it waits for the lock
+	r.mu.Lock()
+	r.view = leads(4)
+	r.mu.Unlock()
+	d.beginTerm(r, 4)
+	core := d.core
+	d.mu.Unlock()
+	if err := <-locked; err == nil {
+		d.mu.Unlock()
+	}
+	is.NoErr(d.lockAsLeader(r))
+	defer d.mu.Unlock()
+	is.Equal(d.term, lwreplica.Term(4))
+	is.True(d.core == core)
+}
