--- a/internal/control/lwreplica/core.go
+++ b/internal/control/lwreplica/core.go
@@ -115,7 +115,9 @@
 	// replica may be elected at any time.
 	timeoutNowSent bool
 
-	incomingSnapshot *Snapshot // snapshot being received
+	incomingSnapshot *Snapshot        // snapshot being received
+	incomingFrom     lwunit.ReplicaID // leader that sends it
+	incomingTerm     Term             // term of that leader
 	out              Output
 }
 
--- a/internal/control/lwreplica/snapshot.go
+++ b/internal/control/lwreplica/snapshot.go
@@ -35,8 +35,9 @@
 		c.sendAfterSync(from, AppendResponse{Term: c.hardState.Term, Match: c.commit, Round: m.Round, SentAt: m.SentAt})
 		return
 	}
-	if c.incomingSnapshot == nil || c.incomingSnapshot.Index != m.Index || c.incomingSnapshot.Term != m.LogTerm {
+	if !c.continuesIncoming(from, m) {
 		c.incomingSnapshot = &Snapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Membership}
+		c.incomingFrom, c.incomingTerm = from, m.Term
 	}
 	if m.Offset == len(c.incomingSnapshot.Data) {
 		c.incomingSnapshot.Data = append(c.incomingSnapshot.Data, m.Data...)
@@ -49,6 +50,13 @@
 	c.sendAfterSync(from, AppendResponse{Term: c.hardState.Term, Match: c.snap.Index, Round: m.Round, SentAt: m.SentAt})
 }
 
+// continuesIncoming reports whether a chunk belongs to the snapshot being received.
+// Another leader may have encoded the state at the same index differently.
+func (c *Core) continuesIncoming(from lwunit.ReplicaID, m SnapshotChunk) bool {
+	s := c.incomingSnapshot
+	return s != nil && s.Index == m.Index && s.Term == m.LogTerm && c.incomingFrom == from && c.incomingTerm == m.Term
+}
+
 // installSnapshot replaces state and log by the received snapshot. It keeps the
 // entries after the snapshot if the log holds the last entry that the snapshot covers.
 func (c *Core) installSnapshot() {
