--- a/internal/control/lwcontrol/dispatch_test.go
+++ b/internal/control/lwcontrol/dispatch_test.go
@@ -196,3 +196,54 @@
 	is.Equal(d.term, lwreplica.Term(4))
 	is.True(d.core == core)
 }
+
+// A replica that led is sent a snapshot while it follows, and leads again. The core of the
+// new term must know the jobs of the snapshot, and take in no change that it includes.
+func TestDispatcherAfterSnapshotFromLeader(t *testing.T) {
+	is := is.New(t)
+	queue := lwconfig.Queue{Key: lwconfig.QueueKey{Host: "h", Prefix: "/q/"}, MaxAttempts: 1}
+	accept := func(id lwunit.JobID) lwstate.AcceptQueueJob {
+		return lwstate.AcceptQueueJob{Job: lwjob.Job{Spec: lwjob.Spec{ID: id, Queue: queue.Key, Steps: []lwjob.Step{{Count: 1}}}, Queue: queue, Term: 1}}
+	}
+	wal, contents, err := lwwal.Open(lwdisk.NewMemory(), lwwal.Identity{Replica: "r"})
+	is.NoErr(err)
+	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
+	is.NoErr(err)
+	d := newDispatcher(&Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}})
+	r.onApply = d.onApplied
+	leads := func(term lwreplica.Term) {
+		r.view = view{role: lwreplica.Leader, term: term, holdsLease: true, leaseEnd: time.Hour}
+	}
+	leader := lwstate.New()
+	commit := func(cmd lwstate.Command) lwreplica.Entry {
+		t.Helper()
+		index := leader.Revision() + 1
+		data, err := lwstate.EncodeCommand(cmd, 1)
+		is.NoErr(err)
+		leader.Apply(index, 1, cmd)
+		return lwreplica.Entry{Index: lwreplica.Index(index), Term: 1, Data: data}
+	}
+	leads(1)
+	is.NoErr(d.lockAsLeader(r))
+	d.mu.Unlock()
+	r.view = view{term: 2} // follows
+	r.apply(lwreplica.Output{Committed: []lwreplica.Entry{commit(accept("lost")), commit(accept("kept"))}})
+	commit(lwstate.CancelQueueJob{Job: "lost"})
+	commit(accept("new"))
+	data, err := leader.Snapshot()
+	is.NoErr(err)
+	r.apply(lwreplica.Output{Snapshot: &lwreplica.Snapshot{Index: lwreplica.Index(leader.Revision()), Data: data}})
+	leads(3)
+	r.apply(lwreplica.Output{Committed: []lwreplica.Entry{commit(accept("newest"))}})
+	is.NoErr(d.lockAsLeader(r))
+	defer d.mu.Unlock()
+	is.Equal(d.core.PendingJobs(queue.Key), 3)
+	r.apply(lwreplica.Output{Committed: []lwreplica.Entry{commit(lwstate.RecordRuns{Ends: []lwjob.End{{Task: "new.0.0.0", Run: 1, How: lwjob.EndFailed}}})}})
+	d.applyChanges(r)
+	is.Equal(d.core.PendingJobs(queue.Key), 2)
+	hash, err := leader.Hash()
+	is.NoErr(err)
+	own, err := r.state.Hash()
+	is.NoErr(err)
+	is.Equal(own, hash)
+}
