Refuse a command that no message can carry

What could be seen: a leader took any command into its log. A message with an entry over about 6 MiB exceeds the frame limit of 8 MiB, is dropped, and so are the heartbeats, which carry it too; the others then elect another leader. From the code, an operator who sends a configuration whose packed form has 4.5 to 6 MiB brings this about at each attempt. So do tens of thousands of ends of runs that gather while no quorum answers, since one command took them all.

Cause: the limits of frames, records and commands were not related.

TestLargeCommandIsRefused failed with "internal != too_large" (the command was committed), TestManyEndsAreRecordedInParts with "1 != 3". Commands are now limited to 4 MiB, which fits in a message together with what is sent before it, and up to 4096 ends and placements are recorded at a time.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -25,6 +25,7 @@
 	jobRemovalInterval         = 20 * time.Second
 	interferenceRecordInterval = time.Second
 	ordersTimeout              = 500 * time.Millisecond
+	maxRunsRecorded            = 4096 // ends and placements in one command
 )
 
 var (
--- a/internal/control/lwcontrol/dispatch_record.go
+++ b/internal/control/lwcontrol/dispatch_record.go
@@ -59,14 +59,18 @@
 	}
 }
 
-// recordRuns proposes the pending ends and placements, one proposal at a time. Ends
-// and placements that arrive meanwhile share the next proposal. The caller holds mu.
+// recordRuns proposes the pending ends, in order, and placements, one proposal at a time
+// with up to maxRunsRecorded of them. Ends and placements that arrive meanwhile share the
+// next proposal. The caller holds mu.
 func (d *dispatcher) recordRuns(ctx context.Context, r *replica) {
 	if d.recordInFlight || len(d.pendingEnds)+len(d.pendingPlacements) == 0 {
 		return
 	}
-	ends, placements, term := d.pendingEnds, d.pendingPlacements, d.term
-	d.pendingEnds, d.pendingPlacements, d.recordInFlight = nil, nil, true
+	ends := d.pendingEnds[:min(len(d.pendingEnds), maxRunsRecorded)]
+	placements := d.pendingPlacements[:min(len(d.pendingPlacements), maxRunsRecorded-len(ends))]
+	term := d.term
+	d.pendingEnds, d.pendingPlacements = d.pendingEnds[len(ends):], d.pendingPlacements[len(placements):]
+	d.recordInFlight = true
 	cmd := lwstate.RecordRuns{Placements: placements}
 	for _, e := range ends {
 		cmd.Ends = append(cmd.Ends, e.Numbered.End)
@@ -81,8 +85,8 @@
 		d.recordInFlight = false
 		if err != nil {
 			d.node.log.Warn("cannot record runs yet", zap.Int("ends", len(ends)), zap.Int("places", len(placements)), zap.Error(err))
-			d.pendingEnds = append(ends, d.pendingEnds...)
-			d.pendingPlacements = append(placements, d.pendingPlacements...)
+			d.pendingEnds = slices.Concat(ends, d.pendingEnds)
+			d.pendingPlacements = slices.Concat(placements, d.pendingPlacements)
 			d.wake()
 			return
 		}
--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -57,12 +57,12 @@
 type empty struct{}
 
 // commit proposes a command. An error of the proposal gets kind Unknown, since the
-// command may still take effect, unless it is a refusal with kind NotLeader or
-// Overloaded.
+// command may still take effect, unless it is a refusal with kind NotLeader,
+// Overloaded or TooLarge.
 func (n *Node) commit(ctx context.Context, r *replica, c lwstate.Command) (lwstate.Result, error) {
 	_, res, err := r.propose(ctx, c)
 	switch lwfault.KindOf(err) {
-	case lwfault.NotLeader, lwfault.Overloaded:
+	case lwfault.NotLeader, lwfault.Overloaded, lwfault.TooLarge:
 		return res, err
 	}
 	if err != nil {
--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -33,6 +33,7 @@
 	commandTimeout        = 5 * time.Second
 	diskCheckInterval     = time.Second
 	fullDiskRetryInterval = 250 * time.Millisecond // between attempts to write
+	maxCommandBytes       = 4 << 20                // of an encoded command; a message with one must fit in a frame
 	minFreeDisk           = 8 * lwunit.MiB         // free space below which commands are refused
 )
 
--- a/internal/control/lwcontrol/submit.go
+++ b/internal/control/lwcontrol/submit.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return 0, lwstate.Result{}, err
 	}
+	if len(data) > maxCommandBytes {
+		return 0, lwstate.Result{}, lwfault.New(lwfault.TooLarge, "the command has %d bytes; the limit is %d", len(data), maxCommandBytes)
+	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.Propose{ID: id, Data: data} })
