Withdraw the lease before TimeoutNow is sent

The other goroutines of a replica read the leader lease from a view that was updated only at the end of a step, after the messages were sent, the disk synced and the entries applied. While a slow or full disk held up the step that sent TimeoutNow, they went on granting task leases and answering as leader for up to half a second, though the target of the transfer could lead within a few milliseconds.

The view now loses the lease before the messages of a step are sent, if the core has given it up. TestLeaseEndsBeforeTimeoutNowIsSent failed before at "not true: !r.stillLeads(term)".

--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -245,6 +245,7 @@
 // perform carries out one output, in the order that lwreplica.Output asks for.
 // More is set if entries became durable; the core then needs a Persisted event.
 func (r *replica) perform(ctx context.Context, out lwreplica.Output) (more bool, err error) {
+	r.withdrawLease()
 	r.sendAll(ctx, out.Messages)
 	if err := r.persistWithRetry(ctx, out); err != nil {
 		return false, err
@@ -380,6 +381,18 @@
 	}
 }
 
+// withdrawLease removes the leader lease from the view if the core has given it up.
+// This must happen before the messages are sent: with one of them, another replica
+// may be elected at once.
+func (r *replica) withdrawLease() {
+	if r.core.LeaseEnd() > 0 {
+		return
+	}
+	r.mu.Lock()
+	r.view.holdsLease, r.view.leaseEnd = false, 0
+	r.mu.Unlock()
+}
+
 // trackRole logs a change of leadership, and fails the waiters of appended entries
 // when leadership is lost.
 func (r *replica) trackRole(v view) {
