Model leadership transfers in the lease model

The old leader may now start a transfer, send TimeoutNow, which may arrive at any later time, and end the transfer at any time.

--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -6,8 +6,11 @@
  * be lost or take any number of ticks, so the leader may be partitioned from the
  * other replicas at any time, in either direction. Replicas 1 and 2 elect a new
  * leader once neither has received a message of the old one for an election
- * timeout. The new leader places the task on worker B once the lease of A must
- * have expired.
+ * timeout, or when the old leader transfers its leadership: it then holds no lease,
+ * and sends TimeoutNow, which may arrive at any later time and starts an election
+ * that no replica refuses. A transfer may end at any time; the old leader then
+ * leads on if it has not sent TimeoutNow, and steps down otherwise. The new leader
+ * places the task on worker B once the lease of A must have expired.
  *
  * Checked: the task never runs on both workers.
  *
@@ -16,6 +19,7 @@
  *   BUG_NO_WAIT       a new leader does not wait for task leases it did not grant
  *   BUG_FROM_REPLY    an agent counts its lease from the answer, not the request
  *   BUG_VOTE_EARLY    a replica votes although it has just received a heartbeat
+ *   BUG_LEAD_ON       a leader whose transfer ended leads on after TimeoutNow
  */
 
 #ifndef ELECTION_TIMEOUT
@@ -38,12 +42,16 @@
 byte stopTicksA = 0;           /* ticks until the task on A has been stopped */
 bool runsOnA = true;
 
+bool transferring = false;    /* the old leader transfers its leadership */
+bool timeoutNowSent = false;  /* it has sent TimeoutNow in its term */
+bool steppedDown = false;     /* it does not lead any more */
+
 bool newLeader = false;
 byte ticksSinceElection = 0;  /* saturates at TASK_LEASE + STOP_TIME + 1 */
 bool runsOnB = false;
 
 /* The leader and one other replica are a quorum of three. */
-#define HOLDS_LEADER_LEASE (leaderLease[1] > 0 || leaderLease[2] > 0)
+#define HOLDS_LEADER_LEASE (!transferring && !steppedDown && (leaderLease[1] > 0 || leaderLease[2] > 0))
 
 #ifdef BUG_STALE_GRANT
 #define MAY_GRANT true
@@ -112,6 +120,12 @@
 #define MAY_ELECT (noVoteTicks[1] == 0 && noVoteTicks[2] == 0)
 #endif
 
+#ifdef BUG_LEAD_ON
+#define MUST_STEP_DOWN false
+#else
+#define MUST_STEP_DOWN timeoutNowSent
+#endif
+
 active proctype main() {
   leaseA = TASK_LEASE;
   noVoteTicks[1] = ELECTION_TIMEOUT; noVoteTicks[2] = ELECTION_TIMEOUT;
@@ -136,6 +150,11 @@
   :: atomic { grantInFlight -> grantInFlight = false; if :: runsOnA && leaseA > 0 && LEASE_FROM_GRANT > leaseA -> leaseA = LEASE_FROM_GRANT :: else fi }
   :: atomic { renewalInFlight -> renewalInFlight = false }
   :: atomic { grantInFlight -> grantInFlight = false }
+  /* the old leader transfers its leadership */
+  :: atomic { !transferring && !steppedDown -> transferring = true }
+  :: atomic { transferring && !timeoutNowSent -> timeoutNowSent = true }
+  :: atomic { transferring -> transferring = false; steppedDown = MUST_STEP_DOWN }
+  :: atomic { timeoutNowSent && !newLeader -> newLeader = true; ticksSinceElection = 0 }
   /* the other replicas elect a leader, which places the task on worker B */
   :: atomic { !newLeader && MAY_ELECT -> newLeader = true; ticksSinceElection = 0 }
   :: atomic { MAY_PLACE && !runsOnB -> runsOnB = true; assert(!runsOnA) }
