Send nothing as leader before the term is durable

A sole voter elects itself in one step, and the entries that it then sent to a learner left before the sync that made its term durable. After a crash in between it led the same term again, with other entries under indexes and a term that the learner already held, which a leader takes as equal logs.

A step that changes the term or the vote now sends all its messages after the sync, and so do the steps merged with it. A group of more voters is not affected: its leader was elected by answers to requests sent after the sync.

--- a/internal/control/lwreplica/core.go
+++ b/internal/control/lwreplica/core.go
@@ -162,6 +162,7 @@
 	case Compact:
 		c.compact(e.Snapshot)
 	}
+	c.out.holdMessages()
 	return c.out
 }
 
--- a/internal/control/lwreplica/types.go
+++ b/internal/control/lwreplica/types.go
@@ -271,6 +271,7 @@
 // Entries and the Committed entries of out.
 func (out *Output) Merge(o Output) {
 	out.Messages = append(out.Messages, o.Messages...)
+	out.holdMessages()
 	if o.HardState != nil {
 		out.HardState = o.HardState
 	}
@@ -286,3 +287,13 @@
 	out.Confirmed = append(out.Confirmed, o.Confirmed...)
 	out.Refused = append(out.Refused, o.Refused...)
 }
+
+// holdMessages makes the Messages wait for the sync if it also makes a new term or
+// vote durable: a leader that sent entries and then lost its term with a crash could
+// lead the same term again with other entries.
+func (out *Output) holdMessages() {
+	if out.HardState != nil {
+		out.MessagesAfterSync = append(out.MessagesAfterSync, out.Messages...)
+		out.Messages = nil
+	}
+}
