Let one of two simultaneous pre-votes go first

When both followers of a lost leader began their pre-votes within a network crossing of each other, each granted the other's. Both became candidates, voted for themselves and waited for another election timeout: for users the group had no leader for up to 1.7 s.

A replica whose own pre-vote began less than a fifth of an election timeout ago now refuses an equal pre-vote of a replica with a lower ID. Pre-votes only give advice, so votes, terms and the lease are untouched; followers still refuse all requests for an election timeout after contact with the leader. The limit in time lets the other replica win where the preceding one gets no answers.

TestSimultaneousPreVotesElectOne failed before with "candidate != follower", TestLeaderLossWithoutSplitVote with "the slowest commit took 1.7s".

--- a/internal/control/lwreplica/core.go
+++ b/internal/control/lwreplica/core.go
@@ -100,6 +100,7 @@
 	leaderContactAt    time.Duration // when the last message of a leader arrived or, without one, the start
 	hasLeaderContact   bool
 	electionDeadline   time.Duration
+	preVoteAt          time.Duration // when the last pre-vote of this replica began
 	votes              map[lwunit.ReplicaID]bool
 	electionByTransfer bool // the leader requested the election that starts next
 
--- a/internal/control/lwreplica/election.go
+++ b/internal/control/lwreplica/election.go
@@ -6,6 +6,10 @@
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
 
+// preVotePrecedence is the part of an election timeout for which a pre-vote precedes
+// equal ones: several crossings of the slowest link.
+const preVotePrecedence = 5
+
 func (c *Core) resetElectionDeadline() {
 	jitter := c.rng.Int64N(int64(c.cfg.ElectionTimeout))
 	c.electionDeadline = c.now + c.cfg.ElectionTimeout + time.Duration(jitter)
@@ -34,6 +38,7 @@
 	term := c.hardState.Term + 1
 	if pre {
 		c.role = PreCandidate
+		c.preVoteAt = c.now
 	} else {
 		c.role = Candidate
 		c.hardState = HardState{Term: term, Voted: c.cfg.ID}
@@ -153,7 +158,7 @@
 	}
 	upToDate := m.LastTerm > c.lastTerm() || (m.LastTerm == c.lastTerm() && m.LastIndex >= c.lastIndex())
 	if m.Pre {
-		granted := upToDate && m.Term > c.hardState.Term
+		granted := upToDate && m.Term > c.hardState.Term && !c.precedes(from, m)
 		term := m.Term
 		if !granted {
 			term = c.hardState.Term
@@ -173,6 +178,15 @@
 	c.sendAfterSync(from, VoteResponse{Term: c.hardState.Term, Granted: granted})
 }
 
+// precedes reports whether this replica's own pre-vote goes before an equal one of
+// another replica. If both granted the other's, both would become candidates and
+// split the vote, which costs another election timeout. The precedence ends after
+// preVotePrecedence, so that a replica that cannot win does not keep the other from it.
+func (c *Core) precedes(from lwunit.ReplicaID, m VoteRequest) bool {
+	return c.role == PreCandidate && c.now-c.preVoteAt < c.cfg.ElectionTimeout/preVotePrecedence &&
+		m.LastIndex == c.lastIndex() && m.LastTerm == c.lastTerm() && c.cfg.ID > from
+}
+
 func (c *Core) onVoteResponse(from lwunit.ReplicaID, m VoteResponse) {
 	if m.Pre {
 		c.onPreVoteResponse(from, m)
--- /dev/null
+++ b/internal/control/lwreplica/prevote_test.go
@@ -0,0 +1,85 @@
+package lwreplica_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+)
+
+// threeVoters starts the replicas with the given IDs of a group a, b and c.
+func threeVoters(ids ...lwunit.ReplicaID) map[lwunit.ReplicaID]*lwreplica.Core {
+	m := lwreplica.Membership{Voters: []lwreplica.Member{{ID: "a", Address: "a"}, {ID: "b", Address: "b"}, {ID: "c", Address: "c"}}}
+	cores := make(map[lwunit.ReplicaID]*lwreplica.Core)
+	for i, id := range ids {
+		cores[id] = lwreplica.New(lwreplica.DefaultConfig(id, uint64(i)), lwreplica.PersistedState{Snapshot: lwreplica.Snapshot{Membership: m}}, 0)
+	}
+	return cores
+}
+
+// deliver passes messages to the running replicas, and their answers, until there
+// are no more.
+func deliver(cores map[lwunit.ReplicaID]*lwreplica.Core, now time.Duration, list []lwreplica.Envelope) {
+	for len(list) > 0 {
+		e := list[0]
+		list = list[1:]
+		if c := cores[e.To]; c != nil {
+			out := c.Step(now, lwreplica.Receive{Envelope: e})
+			list = append(list, slices.Concat(out.Messages, out.MessagesAfterSync)...)
+		}
+	}
+}
+
+// The two followers of a lost leader begin their pre-votes at the same moment. If
+// both became candidates, they would split the vote and wait another election timeout.
+func TestSimultaneousPreVotesElectOne(t *testing.T) {
+	is := is.New(t)
+	cores := threeVoters("b", "c")
+	now := 2 * time.Second
+	var list []lwreplica.Envelope
+	for _, id := range []lwunit.ReplicaID{"b", "c"} {
+		list = append(list, cores[id].Step(now, lwreplica.Tick{}).MessagesAfterSync...)
+	}
+	deliver(cores, now, list)
+	is.Equal(cores["b"].Role(), lwreplica.Follower)
+	is.Equal(cores["c"].Role(), lwreplica.Leader)
+	is.Equal(cores["c"].Term(), lwreplica.Term(1))
+}
+
+// A replica whose pre-vote gets no answers must not keep another one from being
+// elected.
+func TestUnansweredPreVoteDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	cores := threeVoters("b", "c")
+	now := 2 * time.Second
+	_ = cores["c"].Step(now, lwreplica.Tick{}) // its messages are lost
+	now += 150 * time.Millisecond
+	deliver(cores, now, cores["b"].Step(now, lwreplica.Tick{}).MessagesAfterSync)
+	is.Equal(cores["b"].Role(), lwreplica.Leader)
+}
+
+// Without message loss a split vote must not delay the first commit after the loss of
+// the leader beyond the longest election deadline.
+func TestLeaderLossWithoutSplitVote(t *testing.T) {
+	var times []time.Duration
+	for seed := range uint64(400) {
+		c := newCluster(t, 3, 5000+seed)
+		c.loss = 0
+		l := c.awaitLeader(5 * time.Second)
+		c.mustCommit(5 * time.Second)
+		c.crash(l)
+		began := c.now
+		c.mustCommit(10 * time.Second)
+		times = append(times, c.now-began)
+	}
+	slices.Sort(times)
+	n := len(times)
+	t.Logf("median %s, 90%% %s, 99%% %s, max %s of %d", times[n/2], times[n*9/10], times[n*99/100], times[n-1], n)
+	if times[n-1] > 1100*time.Millisecond {
+		t.Errorf("the slowest commit took %s", times[n-1])
+	}
+}
