Repeat a pre-vote that was refused for recent contact

Followers of a lost leader may have had their last contact with it up to a heartbeat apart. The pre-vote of the one that had it first could reach the other within an election timeout of its contact; it was dropped and not repeated before another whole deadline. The other's pre-vote could meet the precedence of the first and be refused as well. For users, the group had no leader for up to 1.5 s.

A replica now repeats its pre-vote after 100 to 200 ms. The other still refuses it for an election timeout after its own contact, and answers to an earlier pre-vote of the term count. A pre-vote precedes equal ones for 50 ms, so that repeated ones leave room for others. Candidates wait as long as before.

--- a/internal/control/lwreplica/election.go
+++ b/internal/control/lwreplica/election.go
@@ -6,9 +6,22 @@
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
 
-// preVotePrecedence is the part of an election timeout for which a pre-vote precedes
-// equal ones: several crossings of the slowest link.
-const preVotePrecedence = 5
+const (
+	// preVotePrecedence is the part of an election timeout for which a pre-vote
+	// precedes equal ones: several crossings of the slowest link.
+	preVotePrecedence = 10
+	// preVoteRepeat is the part of an election timeout after which a pre-vote is
+	// repeated at the earliest.
+	preVoteRepeat = 5
+)
+
+// preVoteInterval returns the time until a pre-vote that was not granted is repeated.
+// Another follower refuses it for an election timeout after its own last contact
+// with the leader, which may be a heartbeat later than this replica's.
+func (c *Core) preVoteInterval() time.Duration {
+	least := c.cfg.ElectionTimeout / preVoteRepeat
+	return least + time.Duration(c.rng.Int64N(int64(least)))
+}
 
 func (c *Core) resetElectionDeadline() {
 	jitter := c.rng.Int64N(int64(c.cfg.ElectionTimeout))
@@ -45,6 +58,9 @@
 		c.saveHardState()
 	}
 	c.resetElectionDeadline()
+	if pre {
+		c.electionDeadline = min(c.electionDeadline, c.now+c.preVoteInterval())
+	}
 	req := VoteRequest{Term: term, LastIndex: c.lastIndex(), LastTerm: c.lastTerm(), Pre: pre, Transfer: c.electionByTransfer}
 	c.electionByTransfer = false // the leader requested only this one election
 	for _, m := range c.Membership().Voters {
--- a/internal/control/lwreplica/prevote_test.go
+++ b/internal/control/lwreplica/prevote_test.go
@@ -83,3 +83,39 @@
 		t.Errorf("the slowest commit took %s", times[n-1])
 	}
 }
+
+// One follower had contact with the lost leader a heartbeat later than the other and
+// refuses its first pre-vote. The pre-vote must be repeated once that contact has
+// aged, not after another election timeout.
+func TestPreVoteIsRepeatedAfterRecentContact(t *testing.T) {
+	cfg := lwreplica.DefaultConfig("", 0)
+	var worst time.Duration
+	for seed := range uint64(300) {
+		cores := threeVoters("b", "c")
+		early, late := lwunit.ReplicaID("b"), lwunit.ReplicaID("c")
+		if seed%2 == 1 {
+			early, late = late, early
+		}
+		heartbeat := func(to lwunit.ReplicaID, now time.Duration) {
+			cores[to].Step(now, lwreplica.Receive{Envelope: lwreplica.Envelope{From: "a", To: to, Body: lwreplica.AppendRequest{Term: 1}}})
+		}
+		for i := range seed { // draws another deadline each time
+			heartbeat(early, time.Duration(i))
+			heartbeat(late, time.Duration(i))
+		}
+		began := time.Second
+		heartbeat(early, began)
+		heartbeat(late, began+cfg.Heartbeat)
+		now := began
+		for ; cores["b"].Role() != lwreplica.Leader && cores["c"].Role() != lwreplica.Leader; now += 10 * time.Millisecond {
+			for _, id := range []lwunit.ReplicaID{"b", "c"} {
+				deliver(cores, now, cores[id].Step(now, lwreplica.Tick{}).MessagesAfterSync)
+			}
+		}
+		worst = max(worst, now-began)
+	}
+	t.Logf("worst %s", worst)
+	if limit := 2*cfg.ElectionTimeout + cfg.Heartbeat; worst > limit {
+		t.Errorf("elected %s after the last contact; the limit is %s", worst, limit)
+	}
+}
