Elect sooner when the connection to the leader closes

After the end of the leader's process its followers waited for a random deadline of one to two election timeouts, although their connections to it had been closed at once. The operator's request that was held meanwhile (900 ms) often ended with 503.

A follower whose connection to the leader closes now brings its election deadline forward to 500 to 600 ms after its last contact. It still refuses votes, and starts no pre-vote, for an election timeout after that contact, on which the leader's lease relies. A leader that only lost its connections sets the deadline anew with its next heartbeat; a slow or stopped one closes none.

TestDisconnectDoesNotDepose and the fault "closed connections" in TestFaultMatrix guard the leader that is still there.

--- a/internal/control/lwcontrol/replica.go
+++ b/internal/control/lwcontrol/replica.go
@@ -347,7 +347,12 @@
 	}
 	for _, m := range r.core.Membership().Members() {
 		if m.ID == id {
-			s := newSender(ctx, r.endpoint.Peer(m.Address))
+			s := newSender(ctx, r.endpoint.Peer(m.Address), func() {
+				select {
+				case r.events <- event{body: lwreplica.Disconnected{ID: id}}:
+				default: // the election deadline remains
+				}
+			})
 			r.senders[id] = s
 			return s
 		}
--- a/internal/control/lwcontrol/transport.go
+++ b/internal/control/lwcontrol/transport.go
@@ -135,12 +135,13 @@
 // dropped, which the protocol tolerates, so that a slow replica does not delay
 // the others.
 type sender struct {
-	peer  *lwrpc.Peer
-	queue chan lwreplica.Envelope
+	peer           *lwrpc.Peer
+	queue          chan lwreplica.Envelope
+	onDisconnected func() // called when the connection has closed
 }
 
-func newSender(ctx context.Context, peer *lwrpc.Peer) *sender {
-	s := &sender{peer: peer, queue: make(chan lwreplica.Envelope, sendQueueLength)}
+func newSender(ctx context.Context, peer *lwrpc.Peer, onDisconnected func()) *sender {
+	s := &sender{peer: peer, queue: make(chan lwreplica.Envelope, sendQueueLength), onDisconnected: onDisconnected}
 	go s.run(ctx)
 	return s
 }
@@ -154,12 +155,19 @@
 }
 
 func (s *sender) run(ctx context.Context) {
+	var disconnected <-chan struct{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-disconnected:
+			disconnected = nil
+			s.onDisconnected()
 		case first := <-s.queue:
 			s.deliver(ctx, s.gather(first))
+			if disconnected == nil {
+				disconnected = s.peer.Disconnected()
+			}
 		}
 	}
 }
--- a/internal/control/lwreplica/core.go
+++ b/internal/control/lwreplica/core.go
@@ -162,6 +162,8 @@
 		c.transfer(e)
 	case Compact:
 		c.compact(e.Snapshot)
+	case Disconnected:
+		c.disconnected(e)
 	}
 	c.out.holdMessages()
 	return c.out
--- a/internal/control/lwreplica/election.go
+++ b/internal/control/lwreplica/election.go
@@ -28,6 +28,18 @@
 	c.electionDeadline = c.now + c.cfg.ElectionTimeout + time.Duration(jitter)
 }
 
+// disconnected brings the election deadline forward if the connection to the leader
+// has closed. It stays beyond an election timeout after the last contact, on which the
+// leader's lease relies, and the next message of a leader that is still there sets it
+// anew.
+func (c *Core) disconnected(e Disconnected) {
+	if c.role != Follower || c.leader == "" || e.ID != c.leader {
+		return
+	}
+	jitter := time.Duration(c.rng.Int64N(int64(c.cfg.ElectionTimeout / preVoteRepeat)))
+	c.electionDeadline = min(c.electionDeadline, c.leaderContactAt+c.cfg.ElectionTimeout+jitter)
+}
+
 func (c *Core) tick() {
 	if c.role == Leader {
 		c.tickLeader()
--- a/internal/control/lwreplica/fault_test.go
+++ b/internal/control/lwreplica/fault_test.go
@@ -52,6 +52,12 @@
 		{"receives no messages", func(c *cluster, x *member) { c.partition(x, true, false) }, false},
 		{"sent messages are lost", func(c *cluster, x *member) { c.partition(x, false, true) }, false},
 		{"pause", func(_ *cluster, x *member) { x.paused = true }, true},
+		{"closed connections", func(c *cluster, x *member) {
+			for _, other := range c.members {
+				c.step(other, lwreplica.Disconnected{ID: x.id})
+				c.step(x, lwreplica.Disconnected{ID: other.id})
+			}
+		}, true},
 		{"slow links with loss", func(c *cluster, _ *member) { c.delay, c.loss = 45*time.Millisecond, 0.2 }, false},
 		{"duplicated messages", func(c *cluster, _ *member) { c.duplication, c.jitter = 0.5, 40*time.Millisecond }, false},
 		{"second member lost right after a disk replacement", func(c *cluster, x *member) {
--- a/internal/control/lwreplica/prevote_test.go
+++ b/internal/control/lwreplica/prevote_test.go
@@ -21,6 +21,21 @@
 	return cores
 }
 
+// heartbeat passes a heartbeat of leader a in term 1 to a replica.
+func heartbeat(c *lwreplica.Core, id lwunit.ReplicaID, now time.Duration) {
+	c.Step(now, lwreplica.Receive{Envelope: lwreplica.Envelope{From: "a", To: id, Body: lwreplica.AppendRequest{Term: 1}}})
+}
+
+// electedAt returns when the replicas b and c elect one of them, from time now on.
+func electedAt(cores map[lwunit.ReplicaID]*lwreplica.Core, now time.Duration) time.Duration {
+	for ; cores["b"].Role() != lwreplica.Leader && cores["c"].Role() != lwreplica.Leader; now += 10 * time.Millisecond {
+		for _, id := range []lwunit.ReplicaID{"b", "c"} {
+			deliver(cores, now, cores[id].Step(now, lwreplica.Tick{}).MessagesAfterSync)
+		}
+	}
+	return now
+}
+
 // deliver passes messages to the running replicas, and their answers, until there
 // are no more.
 func deliver(cores map[lwunit.ReplicaID]*lwreplica.Core, now time.Duration, list []lwreplica.Envelope) {
@@ -96,26 +111,56 @@
 		if seed%2 == 1 {
 			early, late = late, early
 		}
-		heartbeat := func(to lwunit.ReplicaID, now time.Duration) {
-			cores[to].Step(now, lwreplica.Receive{Envelope: lwreplica.Envelope{From: "a", To: to, Body: lwreplica.AppendRequest{Term: 1}}})
-		}
 		for i := range seed { // draws another deadline each time
-			heartbeat(early, time.Duration(i))
-			heartbeat(late, time.Duration(i))
+			heartbeat(cores[early], early, time.Duration(i))
+			heartbeat(cores[late], late, time.Duration(i))
 		}
 		began := time.Second
-		heartbeat(early, began)
-		heartbeat(late, began+cfg.Heartbeat)
-		now := began
-		for ; cores["b"].Role() != lwreplica.Leader && cores["c"].Role() != lwreplica.Leader; now += 10 * time.Millisecond {
-			for _, id := range []lwunit.ReplicaID{"b", "c"} {
-				deliver(cores, now, cores[id].Step(now, lwreplica.Tick{}).MessagesAfterSync)
-			}
-		}
-		worst = max(worst, now-began)
+		heartbeat(cores[early], early, began)
+		heartbeat(cores[late], late, began+cfg.Heartbeat)
+		worst = max(worst, electedAt(cores, began)-began)
 	}
 	t.Logf("worst %s", worst)
 	if limit := 2*cfg.ElectionTimeout + cfg.Heartbeat; worst > limit {
 		t.Errorf("elected %s after the last contact; the limit is %s", worst, limit)
 	}
 }
+
+// The process of the leader has ended and its connections are closed: its followers
+// must not wait for a random deadline, but still for an election timeout.
+func TestElectionAfterDisconnect(t *testing.T) {
+	cfg := lwreplica.DefaultConfig("", 0)
+	least, worst := time.Hour, time.Duration(0)
+	for seed := range uint64(100) {
+		cores := threeVoters("b", "c")
+		for _, id := range []lwunit.ReplicaID{"b", "c"} {
+			for i := range seed + 1 {
+				heartbeat(cores[id], id, time.Duration(i))
+			}
+			cores[id].Step(time.Millisecond, lwreplica.Disconnected{ID: "a"})
+		}
+		took := electedAt(cores, time.Millisecond)
+		least, worst = min(least, took), max(worst, took)
+	}
+	t.Logf("elected %s to %s after the last contact", least, worst)
+	if least < cfg.ElectionTimeout || worst > cfg.ElectionTimeout+cfg.ElectionTimeout/4 {
+		t.Errorf("elected %s to %s after the last contact; the election timeout is %s", least, worst, cfg.ElectionTimeout)
+	}
+}
+
+// A leader whose connections were reset still leads: with its next heartbeat the
+// followers must wait as long as before.
+func TestDisconnectDoesNotDepose(t *testing.T) {
+	is := is.New(t)
+	cfg := lwreplica.DefaultConfig("", 0)
+	cores := threeVoters("b")
+	heartbeat(cores["b"], "b", 0)
+	cores["b"].Step(time.Millisecond, lwreplica.Disconnected{ID: "c"}) // another follower
+	cores["b"].Step(time.Millisecond, lwreplica.Disconnected{ID: "a"})
+	for now := cfg.Heartbeat; now < 3*time.Second; now += cfg.Heartbeat {
+		is.Equal(len(cores["b"].Step(now, lwreplica.Tick{}).MessagesAfterSync), 0)
+		heartbeat(cores["b"], "b", now)
+	}
+	is.Equal(cores["b"].Role(), lwreplica.Follower)
+	is.Equal(cores["b"].LeaderID(), lwunit.ReplicaID("a"))
+}
--- a/internal/control/lwreplica/types.go
+++ b/internal/control/lwreplica/types.go
@@ -220,6 +220,10 @@
 // covers them.
 type Compact struct{ Snapshot Snapshot }
 
+// Disconnected reports that the connection to another replica has closed, perhaps
+// because its process has ended.
+type Disconnected struct{ ID lwunit.ReplicaID }
+
 func (Tick) event()               {}
 func (Receive) event()            {}
 func (Propose) event()            {}
@@ -229,6 +233,7 @@
 func (ChangeMembership) event()   {}
 func (TransferLeadership) event() {}
 func (Compact) event()            {}
+func (Disconnected) event()       {}
 
 // AppendedProposal reports the log entry of a proposal. The entry may still be
 // replaced by a later leader until it is committed.
--- a/internal/net/lwrpc/peer.go
+++ b/internal/net/lwrpc/peer.go
@@ -104,6 +104,17 @@
 	return nil
 }
 
+// Disconnected returns a channel that is closed when the current connection closes,
+// or nil if there is none.
+func (p *Peer) Disconnected() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.session == nil {
+		return nil
+	}
+	return p.session.Done()
+}
+
 // disconnect closes the connection; the next use dials again.
 func (p *Peer) disconnect() {
 	p.mu.Lock()
--- a/internal/net/lwrpc/peer_test.go
+++ b/internal/net/lwrpc/peer_test.go
@@ -78,3 +78,24 @@
 	is.NoErr(p.Call(t.Context(), "double", number{21}, &out)) // no redial, which would have to wait
 	is.Equal(out.N, 42)
 }
+
+// The end of the other process must show without a further message.
+func TestDisconnected(t *testing.T) {
+	is := is.New(t)
+	e := serve(t)
+	p := dial(t, e, testKey)
+	is.True(p.Disconnected() == nil) // not connected yet
+	is.NoErr(p.Call(t.Context(), "double", number{1}, nil))
+	closed := p.Disconnected()
+	select {
+	case <-closed:
+		t.Fatal("the connection is open")
+	default:
+	}
+	e.Close()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the closed connection does not show")
+	}
+}
