Let a request without a leader use the time that it has

A request about queues gave up as soon as its next pause and a further attempt did not fit before its deadline. With pauses of up to 240 ms the operator's request of 900 ms could end with 503 after 510 ms, before the election was over, and the operator's backoff followed.

The pause is now shortened first, so that a last round begins 200 ms before the deadline: time for redirects and for an attempt that is not cut short. With less time left a request gives up as before.

TestRequestUsesItsTime failed before in 57 to 63 of 100 runs, for example with "no control leader is known: not sent: unavailable: connection refused after 698.425881ms".

--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -134,6 +134,7 @@
 	queueRetryDelay     = 40 * time.Millisecond   // mean delay after the first round
 	maxQueueRetryDelay  = 160 * time.Millisecond  // mean delay after a later round
 	minAttemptTime      = 150 * time.Millisecond  // time that must be left for a further attempt: a dial, two network crossings and a commit
+	lastRoundTime       = 200 * time.Millisecond  // time that must be left for the last round: redirects and an attempt
 	noLeaderTimeout     = 1200 * time.Millisecond // longest time that a request waits for a leader
 	noLeaderRetryAfter  = time.Second             // an election is over by then
 )
@@ -170,10 +171,10 @@
 			c.leaderlessSince(start)
 			return noLeaderFault(err)
 		}
+		pause = beforeEnd(ctx, pause)
 		if !mayHaveRun && endsWithin(ctx, pause+minAttemptTime) {
 			return noLeaderFault(err) // the outcome of an attempt that is cut short would be unknown
 		}
-		pause = beforeEnd(ctx, pause)
 		if c.awaitLeader(ctx, pause) {
 			continue
 		}
@@ -190,11 +191,11 @@
 	return ok && time.Until(deadline) < d
 }
 
-// beforeEnd shortens a pause so that minAttemptTime is left after it for the last
-// attempt before the deadline of ctx. It leaves a pause alone that begins later.
+// beforeEnd shortens a pause so that lastRoundTime is left after it before the deadline
+// of ctx. It leaves a pause alone that begins later.
 func beforeEnd(ctx context.Context, pause time.Duration) time.Duration {
 	deadline, ok := ctx.Deadline()
-	if left := time.Until(deadline) - minAttemptTime; ok && left > 0 {
+	if left := time.Until(deadline) - lastRoundTime; ok && left > 0 {
 		return min(pause, left)
 	}
 	return pause
