--- a/internal/control/lwcontrol/apply_test.go
+++ b/internal/control/lwcontrol/apply_test.go
@@ -13,18 +13,14 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
-	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 )
 
 // Every replica that applies a command that panics ends, again after each restart. The
 // log must name the entry.
 func TestCommandThatPanicsIsLogged(t *testing.T) {
 	is := is.New(t)
-	wal, contents, err := lwwal.Open(lwdisk.NewMemory(), lwwal.Identity{Replica: "r"})
-	is.NoErr(err)
 	core, lines := observer.New(zapcore.InfoLevel)
-	r, err := newReplica(zap.New(core), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
-	is.NoErr(err)
+	r := newTestReplica(t, lwdisk.NewMemory(), zap.New(core))
 	r.onApply = func(lwunit.Revision, lwstate.Command) { panic("out of order") }
 	data, err := lwstate.EncodeCommand(lwstate.CancelQueueJob{Job: "j"}, 1)
 	is.NoErr(err)
--- a/internal/control/lwcontrol/disk_test.go
+++ b/internal/control/lwcontrol/disk_test.go
@@ -50,11 +50,7 @@
 func TestReplicaSurvivesFullDisk(t *testing.T) {
 	is := is.New(t)
 	disk := lwdisk.NewMemory()
-	wal, contents, err := lwwal.Open(disk, lwwal.Identity{Replica: "r"})
-	is.NoErr(err)
-	contents.State.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
-	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
-	is.NoErr(err)
+	r := newSoleVoter(t, disk)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- r.run(ctx) }()
@@ -84,11 +80,7 @@
 func TestReplicaThatFailsWaitsForSnapshot(t *testing.T) {
 	is := is.New(t)
 	disk := lwdisk.NewMemory()
-	wal, contents, err := lwwal.Open(disk, lwwal.Identity{Replica: "r"})
-	is.NoErr(err)
-	contents.State.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
-	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
-	is.NoErr(err)
+	r := newSoleVoter(t, disk)
 	failed := make(chan struct{})
 	var once sync.Once
 	errDisk := errors.New("input/output error")
--- a/internal/control/lwcontrol/dispatch_test.go
+++ b/internal/control/lwcontrol/dispatch_test.go
@@ -17,18 +17,13 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
-	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 )
 
 // A job is committed just before the leader's lease expires. The dispatcher must
 // know it once the lease is renewed in the same term.
 func TestDispatcherKeepsChangesWhileLeaseIsExpired(t *testing.T) {
 	is := is.New(t)
-	wal, contents, err := lwwal.Open(lwdisk.NewMemory(), lwwal.Identity{Replica: "r"})
-	is.NoErr(err)
-	contents.State.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
-	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
-	is.NoErr(err)
+	r := newSoleVoter(t, lwdisk.NewMemory())
 	n := &Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}}
 	d := newDispatcher(n)
 	r.onApply = d.onApplied
@@ -43,7 +38,7 @@
 		return true
 	})
 	queue := lwconfig.Queue{Key: lwconfig.QueueKey{Host: "h", Prefix: "/q/"}}
-	_, _, err = r.propose(ctx, lwstate.AcceptQueueJob{Job: lwjob.Job{Spec: lwjob.Spec{ID: "j", Queue: queue.Key, Steps: []lwjob.Step{{Count: 1}}}, Queue: queue, Term: 1}})
+	_, _, err := r.propose(ctx, lwstate.AcceptQueueJob{Job: lwjob.Job{Spec: lwjob.Spec{ID: "j", Queue: queue.Key, Steps: []lwjob.Step{{Count: 1}}}, Queue: queue, Term: 1}})
 	is.NoErr(err)
 	cancel()
 	is.NoErr(<-ended)
@@ -205,10 +200,7 @@
 	accept := func(id lwunit.JobID) lwstate.AcceptQueueJob {
 		return lwstate.AcceptQueueJob{Job: lwjob.Job{Spec: lwjob.Spec{ID: id, Queue: queue.Key, Steps: []lwjob.Step{{Count: 1}}}, Queue: queue, Term: 1}}
 	}
-	wal, contents, err := lwwal.Open(lwdisk.NewMemory(), lwwal.Identity{Replica: "r"})
-	is.NoErr(err)
-	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
-	is.NoErr(err)
+	r := newTestReplica(t, lwdisk.NewMemory(), zap.NewNop())
 	d := newDispatcher(&Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}})
 	r.onApply = d.onApplied
 	leads := func(term lwreplica.Term) {
--- a/internal/control/lwcontrol/queue_test.go
+++ b/internal/control/lwcontrol/queue_test.go
@@ -1,7 +1,6 @@
 package lwcontrol
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"testing"
@@ -11,15 +10,12 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwlog"
-	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
-	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
-	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 )
 
 // newQueueNode returns the node of a group of one replica that leads, with the
@@ -28,21 +24,11 @@
 	t.Helper()
 	is := is.New(t)
 	disk := lwdisk.NewMemory()
-	wal, contents, err := lwwal.Open(disk, lwwal.Identity{Replica: "r"})
-	is.NoErr(err)
-	contents.State.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
-	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
-	is.NoErr(err)
+	r := newSoleVoter(t, disk)
 	n := &Node{log: zap.NewNop(), decisionLog: lwlog.NewRateLimitedLogger(zap.NewNop(), decisionsPerSecond), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}}
 	n.dispatcher = newDispatcher(n)
 	r.onApply = n.dispatcher.onApplied
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- r.run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		is.NoErr(<-ended)
-	})
+	runReplica(t, r)
 	eventually(t, "the replica leads", func() bool {
 		if n.dispatcher.lockAsLeader(r) != nil {
 			return false
@@ -54,7 +40,7 @@
 	for _, prefix := range []string{"/a/", "/b/"} {
 		doc.Queues = append(doc.Queues, lwconfig.Queue{Key: lwconfig.QueueKey{Host: "h", Prefix: prefix}})
 	}
-	_, res, err := r.propose(ctx, lwstate.Configure{Document: doc})
+	_, res, err := r.propose(t.Context(), lwstate.Configure{Document: doc})
 	is.NoErr(errors.Join(err, res.Err))
 	return n, r, disk
 }
--- a/internal/control/lwcontrol/submit_test.go
+++ b/internal/control/lwcontrol/submit_test.go
@@ -1,7 +1,6 @@
 package lwcontrol
 
 import (
-	"context"
 	"crypto/rand"
 	"testing"
 	"time"
@@ -17,29 +16,17 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
-	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 )
 
 // leadingNode runs a group of one replica and returns its node once it leads. Applied
 // receives each command that is applied.
 func leadingNode(t *testing.T, applied func(lwstate.Command)) *Node {
 	t.Helper()
-	is := is.New(t)
-	wal, contents, err := lwwal.Open(lwdisk.NewMemory(), lwwal.Identity{Replica: "r"})
-	is.NoErr(err)
-	contents.State.Snapshot.Membership = lwreplica.Membership{Voters: []lwreplica.Member{{ID: "r"}}}
-	r, err := newReplica(zap.NewNop(), wal, contents, nil, func() (lwunit.Bytes, error) { return minFreeDisk, nil }, lwreplica.DefaultConfig("r", 1))
-	is.NoErr(err)
+	r := newSoleVoter(t, lwdisk.NewMemory())
 	n := &Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}, replica: r}
 	n.dispatcher = newDispatcher(n)
 	r.onApply = func(_ lwunit.Revision, c lwstate.Command) { applied(c) }
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- r.run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		is.NoErr(<-ended)
-	})
+	runReplica(t, r)
 	eventually(t, "the replica leads", func() bool { return r.stillLeads(r.currentView().term) })
 	return n
 }
