Let the caller close a connection first

A caller that sent "Connection: close" now and then got EOF instead of an answer, although the request had run and counted as completed. Callers that only opened a connection lost it too, before their request was read.

nbhttp closes such a connection from the handler's goroutine as soon as the answer is written, while the caller closes it as well. New connections then ended with EOF within 2 ms of opening while their callers waited, as if the poller had applied the old close to the reused file descriptor. The server now announces the close and leaves the connection to the caller for lingerTimeout. A request that arrives meanwhile is answered, and during a drain kept-alive connections close after their last answer too.

A request also left InFlight before nbhttp had written its answer, so that Drain could return and Close discard the answer. It now leaves afterwards.

Before, TestCallersThatCloseGetEveryAnswer printed "3 != 0 // answers lost", TestCallerClosesFirst "not true: os.IsTimeout(err)" and, for a drain, "not true: closedByPeer(c)", and TestRequestIsInFlightUntilItsAnswerIsWritten "1562 != 0".

--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -35,8 +35,9 @@
 	maxUnsentBytes           = 256 << 10
 	engineStopTimeout        = 2 * time.Second
 	disconnectPollInterval   = 50 * time.Millisecond
-	smallAnswerBytes         = 16 << 10              // smaller answers are not awaited before a close
-	closeDelay               = 10 * time.Millisecond // for the poller to add a connection, or for queued bytes to move
+	smallAnswerBytes         = 16 << 10               // smaller answers are not awaited before a close
+	closeDelay               = 10 * time.Millisecond  // for the poller to add a connection, or for queued bytes to move
+	lingerTimeout            = 100 * time.Millisecond // for the caller to close a connection after its last answer
 	drainPollInterval        = 10 * time.Millisecond
 	connectionHeader         = "Connection"
 	connectionClose          = "close"
@@ -306,11 +307,6 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	httpRequests.Add(1)
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
-	if s.draining.Load() {
-		w.Header().Set(connectionHeader, connectionClose)
-	}
 	res, ok := w.(*nbhttp.Response)
 	if !ok || res.Parser == nil || res.Parser.Conn == nil {
 		return
@@ -319,6 +315,22 @@
 	if !ok {
 		return
 	}
+	s.inFlight.Add(1)
+	last := r.Close || s.draining.Load()
+	defer nbc.MustExecute(func() { // runs after nbhttp has written the answer
+		s.inFlight.Add(-1)
+		if last {
+			_ = nbc.SetReadDeadline(time.Now().Add(lingerTimeout))
+		}
+	})
+	if last {
+		w.Header().Set(connectionHeader, connectionClose)
+	}
+	requestedClose := r.Close
+	// nbhttp would close the connection as soon as the answer is written, while
+	// the caller closes it too. The poller may then apply the caller's close to
+	// a new connection that has got the same file descriptor.
+	r.Close = false
 	v, ok := s.conns.Load(nbc)
 	if !ok {
 		return
@@ -332,8 +344,10 @@
 	stop := conn.watchDisconnect(nbc)
 	defer stop()
 	out := &backpressureWriter{Response: res, conn: conn, nbc: nbc, stallTimeout: s.cfg.WriteStallTimeout}
-	s.cfg.Handler.ServeHTTP(out, r.WithContext(ctx))
-	if r.Close || s.draining.Load() {
+	r = r.WithContext(ctx)
+	r.Close = requestedClose
+	s.cfg.Handler.ServeHTTP(out, r)
+	if last || s.draining.Load() {
 		out.awaitSent()
 	}
 }
@@ -407,9 +421,10 @@
 }
 
 // awaitSent waits until the whole answer has been written to the socket, but no
-// longer than stallTimeout. nbhttp closes a connection that is not kept alive as
-// soon as the handler returns, and discards the bytes still queued. It holds back an
-// answer of up to 64 KiB until then, unless it is flushed.
+// longer than stallTimeout. A connection that is not kept alive closes
+// lingerTimeout after the answer, which discards the bytes still queued. nbhttp
+// holds back an answer of up to 64 KiB until the handler returns, unless it is
+// flushed.
 func (w *backpressureWriter) awaitSent() {
 	if w.writtenBytes < smallAnswerBytes {
 		return // nbhttp writes it after the handler returns, and it fits the socket's buffer
