Await each replacement in the rolling drain test

TestRollingDrainCompletesEveryRequest failed in 5 of 30 runs on a busy machine, each time with 669 to 829 answers of 503 "no backend server of engrave-desk is announced". The test withdrew the next backend server 200 ms after the last replacement had started, announced or not. In a traced failure control took 418 ms to record the first withdrawal, so all three servers were withdrawn before any replacement was announced. The entries had each change within 40 ms of its commit, so the product behaved as it should.

The test now waits until each replacement is announced before it withdraws the next server, and still requires that every request completes. AwaitBackends compares ids, since the count alone also matches while a withdrawn server is still listed. 30 of 30 runs passed on the same machine.

--- a/internal/bench/lwrig/rig.go
+++ b/internal/bench/lwrig/rig.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -265,13 +266,13 @@
 // Operator returns a client with the operator's token.
 func (s *System) Operator() *lwadmin.Client { return lwadmin.New(s.URL(0), operatorToken) }
 
-// AwaitBackends waits until every backend server is announced, and then for
-// watchDelay, since the entries receive announcements by a watch.
+// AwaitBackends waits until exactly the current backend servers are announced, and
+// then for watchDelay, since the entries receive announcements by a watch.
 func (s *System) AwaitBackends(ctx context.Context) error {
 	err := await(ctx, func() (bool, error) {
 		var list []lwstate.BackendServer
 		err := s.Operator().Get(ctx, "/v1/backend_servers", &list)
-		return len(list) == len(s.Backends), err
+		return s.areCurrent(list), err
 	})
 	if err != nil {
 		return err
@@ -280,6 +281,15 @@
 	return nil
 }
 
+func (s *System) areCurrent(list []lwstate.BackendServer) bool {
+	for _, b := range s.Backends {
+		if !slices.ContainsFunc(list, func(l lwstate.BackendServer) bool { return l.ID == b.ID }) {
+			return false
+		}
+	}
+	return len(list) == len(s.Backends)
+}
+
 // ClusterKey returns the cluster key.
 func (s *System) ClusterKey() string { return s.clusterKey }
 
--- a/internal/entry/lwentry/fault_test.go
+++ b/internal/entry/lwentry/fault_test.go
@@ -335,6 +335,8 @@
 	is.Equal(sys.Backends[0].Runs(key), 0)     // and the restarted backend server did not run it
 }
 
+// Guards against requests lost while backend servers are replaced one by one. Each
+// replacement is announced before the next backend server is withdrawn.
 func TestRollingDrainCompletesEveryRequest(t *testing.T) {
 	is := is.New(t)
 	sys := startTestSystem(t, 3, 1)
@@ -355,9 +357,11 @@
 			}
 		})
 	}
+	awaitCtx, cancelAwait := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancelAwait()
 	for i := range sys.Backends {
-		is.NoErr(sys.ReplaceBackend(context.Background(), i))
-		time.Sleep(200 * time.Millisecond)
+		is.NoErr(sys.ReplaceBackend(awaitCtx, i))
+		is.NoErr(sys.AwaitBackends(awaitCtx))
 	}
 	cancel()
 	wg.Wait()
