Add a switch for load control and the bounds that it rests on

Deployments differ in whether failure domains may be evacuated and in what an interruption of checkpointed work costs. The settings template passes these bounds on; load control is on by default only where they call for it: with agreed evacuations, or where an interruption loses at most 0.5 s in the mean. Nothing uses the switch yet.

--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"time"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
@@ -40,6 +41,40 @@
 	MachinesAddress  string `json:"machines_address,omitempty"` // of the provider's API for its machines; unused
 
 	Bounds HostedBounds `json:"bounds"`
+
+	// FailureDomains are the names of all failure domains; without them every name is
+	// taken for one.
+	FailureDomains []lwunit.FailureDomain `json:"failure_domains,omitempty"`
+	Load           LoadMode               `json:"load,omitempty"` // empty is LoadAuto
+}
+
+// LoadMode says whether the leader plans which jobs it can finish in time, refuses those
+// that it cannot, starts copies of slow tasks and learns the speeds of workers.
+type LoadMode string
+
+// The modes.
+const (
+	LoadAuto LoadMode = "auto" // on if the bounds call for it
+	LoadOn   LoadMode = "on"
+	LoadOff  LoadMode = "off"
+)
+
+// maxCheapInterruption is the mean loss of an interruption up to which LoadAuto is on.
+const maxCheapInterruption = 500 * time.Millisecond
+
+// LoadControl reports whether load control is on. LoadAuto turns it on where failure
+// domains may be evacuated, since the others must then serve with one less, and where work
+// can be interrupted at little cost.
+func (h *Hosted) LoadControl() bool {
+	switch h.Load {
+	case LoadOn:
+		return true
+	case LoadOff:
+		return false
+	default:
+		loss := h.Bounds.InterruptionLoss()
+		return h.Bounds.Evacuation > 0 || (loss > 0 && loss <= maxCheapInterruption)
+	}
 }
 
 // HostedBounds holds the limits that the provider states for work on its
@@ -48,6 +83,22 @@
 	MaxLease          lwunit.Duration `json:"hold_max"`      // longest lease; shortens the default
 	MaxTimeOverTarget lwunit.Duration `json:"harm"`          // for how long filling work may keep a tail latency over its target; 0 is the default
 	OffRackSlowdown   float64         `json:"spread_factor"` // factor by which work is slower outside its preferred rack; 0 is the default
+
+	Evacuation         lwunit.Duration `json:"evacuate,omitempty"`     // from the acknowledgement of an evacuation until no task is started in the domain; 0 if none are agreed
+	CheckpointInterval lwunit.Duration `json:"checkpoint,omitempty"`   // work after which a run writes a checkpoint
+	RestoreTime        lwunit.Duration `json:"restore,omitempty"`      // time that a run needs to resume from a checkpoint
+	ColdOverage        float64         `json:"cold_overage,omitempty"` // a cold worker may be given at most this multiple of what it bears
+	ColdSlack          int             `json:"cold_slack,omitempty"`   // and at most this many tasks more
+}
+
+// InterruptionLoss returns the mean time that a checkpointed run loses when it is stopped
+// and resumed elsewhere: half of the work between two checkpoints, and the restore. It is
+// 0 if the provider states no checkpoints.
+func (b HostedBounds) InterruptionLoss() time.Duration {
+	if b.CheckpointInterval <= 0 {
+		return 0
+	}
+	return b.CheckpointInterval.Std()/2 + b.RestoreTime.Std()
 }
 
 // Voters returns the number of voting control replicas. A majority of them
@@ -111,6 +162,14 @@
 		return "seeds", "hosted.seeds must name a VM that runs control"
 	case h.Bounds.MaxLease <= 0:
 		return "hold_max", "hosted.bounds.hold_max must be over 0"
+	case h.Load != "" && h.Load != LoadAuto && h.Load != LoadOn && h.Load != LoadOff:
+		return "load", "hosted.load must be auto, on or off"
+	case h.Bounds.Evacuation < 0:
+		return "evacuate", "hosted.bounds.evacuate must not be negative"
+	case h.Bounds.CheckpointInterval < 0:
+		return "checkpoint", "hosted.bounds.checkpoint must not be negative"
+	case h.Bounds.RestoreTime < 0:
+		return "restore", "hosted.bounds.restore must not be negative"
 	}
 	addresses := map[HostedRole][]struct{ field, value string }{
 		HostedEntry:   {{"callers_address", h.CallersAddress}, {"readiness_address", h.ReadinessAddress}},
--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -77,7 +77,7 @@
 		n.control, err = lwcontrol.Start(lwcontrol.Config{
 			Name: n.settings.Name, Address: h.RPCAddress(), Domain: n.settings.FailureDomain, Folder: h.DataFolder, SnapshotSize: h.SnapshotSize,
 			Seeds: h.ControlAddresses(), JoinOnly: !h.Bootstrap, Voters: h.Voters(), Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(),
-			Dispatch: dispatchConfig(h.Bounds), Advisor: advisor, Seed: rand.Uint64(),
+			Dispatch: dispatchConfig(h), Advisor: advisor, Seed: rand.Uint64(),
 		}, n.endpoint, n.log)
 		if err != nil {
 			return err
@@ -125,8 +125,9 @@
 	}
 }
 
-func dispatchConfig(b lwsetting.HostedBounds) lwdispatch.Config {
-	cfg := lwdispatch.DefaultConfig()
+func dispatchConfig(h *lwsetting.Hosted) lwdispatch.Config {
+	cfg, b := lwdispatch.DefaultConfig(), h.Bounds
+	cfg.LoadControl, cfg.InterruptionLoss = h.LoadControl(), b.InterruptionLoss()
 	cfg.Lease = min(cfg.Lease, b.MaxLease.Std())
 	if b.OffRackSlowdown > 0 {
 		cfg.OffRackSlowdown = b.OffRackSlowdown
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -27,6 +27,8 @@
 	OffRackSlowdown   float64       // slowdown of work outside its preferred rack, added to the placement cost there
 	SuspicionPause    time.Duration // first pause of a worker that keeps failing tasks; it doubles each time
 	MaxTimeOverTarget time.Duration // limit of the time for which filling work may keep a tail latency over its target; it is paused after half of it
+	LoadControl       bool          // plan jobs, refuse those that cannot be of use, start copies and learn the speeds of workers
+	InterruptionLoss  time.Duration // mean time that a checkpointed run loses when it is stopped and resumed elsewhere; 0 if unknown
 }
 
 // DefaultConfig returns the settings of a deployment that states none.
