Replicate evacuations of failure domains

Operators evacuate and restore failure domains, and today nothing records it. The replicated state now holds a table with the last change of each domain, set by the command set_evacuation. Operators' calls carry no sequence number, so an order names the revision of the record that it was decided on; one that is delivered late is refused with kind conflict and cannot undo a later order. An order for what is already so is acknowledged and changes nothing.

Nothing acts on the table yet.

--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -6,6 +6,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwevacuation"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 )
 
@@ -244,6 +245,8 @@
 		return "forget_jobs"
 	case RecordInterference:
 		return "learn_disturbances"
+	case SetEvacuation:
+		return "set_evacuation"
 	default:
 		return ""
 	}
@@ -328,6 +331,8 @@
 		return decodeAs[BeginMaintenance](w.Body)
 	case "learn_disturbances":
 		return decodeAs[RecordInterference](w.Body)
+	case "set_evacuation":
+		return decodeAs[SetEvacuation](w.Body)
 	case "forget_jobs":
 		return decodeAs[RemoveQueueJobs](w.Body)
 	default:
@@ -350,9 +355,11 @@
 	Ticket  TicketRecord       // ApplyTicket
 	Job     Job                // SubmitJob, CancelJob, RejectJob
 	Claim   Claim              // BindClaim, CloseClaim
-	Fresh   bool               // BindClaim, Configure, AcceptQueueJob: the command took effect; CancelQueueJob: the job exists
+	Fresh   bool               // BindClaim, Configure, AcceptQueueJob, SetEvacuation: the command took effect; CancelQueueJob: the job exists
 	Skipped []SkippedPlacement // PlaceTasks, ResizeTasks
 	Number  lwticket.Number    // ApplyTicket: a higher ticket that already set one of the objects
+
+	Evacuation lwevacuation.Record // SetEvacuation: the record now in force
 }
 
 // SkippedPlacement is a placement or resize that was not carried out.
--- a/internal/control/lwstate/model.go
+++ b/internal/control/lwstate/model.go
@@ -1,8 +1,8 @@
 // Package lwstate is the replicated state machine: tickets, services, teams,
-// workers, jobs, tasks, backend servers, the claims of non-idempotent requests
-// and the table of queues and their jobs (package lwjob). Every replica applies
-// the same commands in the same order and reaches the same state, so nothing here
-// reads a clock or does I/O.
+// workers, jobs, tasks, backend servers, the claims of non-idempotent requests,
+// the evacuated failure domains (package lwevacuation) and the table of queues and
+// their jobs (package lwjob). Every replica applies the same commands in the same
+// order and reaches the same state, so nothing here reads a clock or does I/O.
 package lwstate
 
 import (
--- a/internal/control/lwstate/restore_test.go
+++ b/internal/control/lwstate/restore_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwevacuation"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 )
 
@@ -27,6 +28,7 @@
 	Holding    map[lwunit.JobID][]lwstate.Task
 	Team       lwunit.Resources
 	NeedsSweep bool
+	Evacuated  lwevacuation.Table
 	Revisions  [3]lwunit.Revision
 	Clock      lwunit.Millis
 }
@@ -37,7 +39,7 @@
 		OnWorker: make(map[lwunit.WorkerID][]lwstate.Task), Backends: make(map[lwunit.WorkerID][]lwstate.BackendServer),
 		Workers: s.Workers(), Queued: s.QueuedTasks(), WithQueued: s.JobsWithQueuedTasks(),
 		OfJob: make(map[lwunit.JobID][]lwstate.Task), Holding: make(map[lwunit.JobID][]lwstate.Task),
-		Team: s.UsedByTeam("t"), NeedsSweep: s.NeedsSweep(), Revisions: [3]lwunit.Revision{s.Revision(), s.PolicyRevision(), s.BackendRevision()}, Clock: s.Clock(),
+		Team: s.UsedByTeam("t"), NeedsSweep: s.NeedsSweep(), Evacuated: s.Evacuations().Clone(), Revisions: [3]lwunit.Revision{s.Revision(), s.PolicyRevision(), s.BackendRevision()}, Clock: s.Clock(),
 	}
 	s.EachWorker(func(w *lwstate.Worker) {
 		id := w.Spec.ID
@@ -128,6 +130,12 @@
 			answer := rapid.SampledFrom([]*lwstate.Answer{nil, {Status: 200, Body: []byte{0, 255}}, {Status: 204, Body: []byte{}, Whole: true}}).Draw(t, "answer")
 			d.apply(lwstate.CloseClaim{Key: k, Token: claim.Token, Phase: phase, Answer: answer})
 		},
+		"evacuation": func(t *rapid.T) {
+			domain := lwunit.FailureDomain(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"))
+			c := setEvacuation(d, domain, rapid.Bool().Draw(t, "evacuate"))
+			c.Order.Expected -= lwunit.Revision(rapid.IntRange(0, 1).Draw(t, "late")) // wraps for a domain without a record; stale all the same
+			d.apply(c)
+		},
 		"submit": func(t *rapid.T) {
 			d.apply(lwstate.SubmitJob{Spec: lwstate.JobSpec{
 				ID: "j", Team: "t", Program: "p", Tasks: rapid.SampledFrom([]int{1, 2, 12}).Draw(t, "tasks"),
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -13,6 +13,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwevacuation"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 )
@@ -47,6 +48,8 @@
 	PolicyRevision  lwunit.Revision                           `json:"policy_revision"`
 
 	Queues lwjob.Contents `json:"queues"`
+
+	Evacuations lwevacuation.Table `json:"evacuations,omitempty"`
 }
 
 // State is the state after some revision. Concurrent reads are safe; a change
@@ -77,6 +80,7 @@
 		Version: Version, Tickets: make(map[lwticket.Number]*TicketRecord), Objects: make(map[string]*ObjectRecord),
 		Workers: make(map[lwunit.WorkerID]*Worker), Jobs: make(map[lwunit.JobID]*Job), Tasks: make(map[lwunit.TaskID]*Task),
 		Claims: make(map[string]*Claim), Backends: make(map[lwunit.BackendServerID]*BackendServer),
+		Evacuations: make(lwevacuation.Table),
 	}}
 	s.buildIndexes()
 	return s
@@ -105,6 +109,7 @@
 	c.Tasks = cloneMap(s.c.Tasks)
 	c.Claims = cloneMap(s.c.Claims)
 	c.Backends = cloneMap(s.c.Backends)
+	c.Evacuations = s.c.Evacuations.Clone()
 	return &State{c: c, queues: s.queues.Clone()}
 }
 
@@ -276,6 +281,8 @@
 		return s.bindClaim(c)
 	case CloseClaim:
 		return s.closeClaim(c)
+	case SetEvacuation:
+		return s.setEvacuation(c)
 	case Sweep:
 		return s.sweep()
 	default:
