Start no task in an evacuated failure domain

The dispatcher takes in the replicated table of evacuations, at the begin of a term and after each change. No worker of an evacuated domain is eligible for a step of any kind; starts there that no list has shown are withdrawn, while runs that have begun go on. Capacity of evacuated domains no longer counts for starvation and reservation pressure. Each grant says whether the worker's domain is evacuated. A step that would have room there is logged once as task_waits.

After a domain is restored, a cold worker of it is given at most the share of its capacity that it has warmed up to; the share rises linearly over the warm-up time that the worker states, and counts for two minutes after the restoring at most. A worker without runs is given one task if the provider states a cold slack.

Nothing calls this outside of tests yet. The tests go through all kinds of steps, gangs, suspects, probes, changes of leader and 30 random histories. With the check of the domain, the withdrawal, the table of a new term, the search after a restoring, the limit for gangs or the time limit of the ramp removed in turn, they fail.

--- a/internal/control/lwdispatch/consolidate.go
+++ b/internal/control/lwdispatch/consolidate.go
@@ -151,10 +151,10 @@
 }
 
 // serviceReservation returns the resources that the runs on a service's workers
-// reserve, and the capacity of these workers.
+// reserve, and the capacity of these workers, without those in evacuated domains.
 func (c *Core) serviceReservation(service lwunit.ServiceName) (reserved, capacity lwunit.Resources) {
 	for _, w := range c.sortedWorkers {
-		if w.info.Service == service {
+		if w.info.Service == service && !c.isEvacuated(w) {
 			reserved = reserved.Add(w.reserved)
 			capacity = capacity.Add(w.info.Capacity)
 		}
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -74,7 +74,8 @@
 	remainingPath    time.Duration // expected time from its start to the end of the job
 	checkedStamp     uint64        // no worker had room for the step as of this value of Core.stamp; 0 if unknown
 	fullScanAt       time.Duration // when all workers were last searched in vain
-	maxCPURatio      float64       // highest CPU use of a task that was measured, as a ratio of the declared processors
+	evacuationWait   evacuationWait
+	maxCPURatio      float64 // highest CPU use of a task that was measured, as a ratio of the declared processors
 }
 
 // job is one accepted job. An ended one is kept for runs that are still stopping.
@@ -118,6 +119,7 @@
 	raisedAt           time.Duration      // when CPU shares were last raised or filling runs paused
 	imageLoad          map[string]float64 // share of its processors that each filling image uses, smoothed like the tail latencies
 	imageLoadAt        time.Duration
+	warmup             warmup
 	dirty              bool               // it has changed since changeStamp was set
 	changeStamp        uint64             // value of Core.stamp when Schedule last found it changed
 	fillingUse         float64            // cache of currentFillingUse; negative if not computed
@@ -165,6 +167,7 @@
 	stamp              uint64                        // counts calls of Schedule; see worker.changeStamp
 	ready              []*step                       // steps that are ready and have tasks left
 	timed              []*step                       // steps that wait for the due time of their occurrence
+	evacuations        evacuations
 	effects            Effects
 }
 
@@ -179,6 +182,7 @@
 		missing: make(map[lwjob.WorkerIncarnation]missingWorker), crashes: make(map[lwjob.WorkerIncarnation]*workerCrash), explained: make(map[lwjob.WorkerIncarnation]lwunit.TaskID), backgroundAt: now, runTimes: make(map[lwconfig.QueueKey]*runTimeStats), gains: make(pairGains), meanBaseTails: make(map[string]float64), fillingDemand: make(map[string]float64), meanJobWork: make(map[lwconfig.QueueKey]float64),
 	}
 	c.gains.restore(in.Interference, now)
+	c.SetEvacuations(in.Evacuations)
 	for _, e := range in.Roster {
 		c.missing[e.Incarnation] = missingWorker{e.Agent, now + c.maxLeaseTime()}
 	}
--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -7,6 +7,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
+	"lavenderweir.example/lavenderweir/internal/control/lwevacuation"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
@@ -28,6 +29,8 @@
 	infos         map[lwunit.WorkerID]WorkerInfo
 	lists         map[lwunit.WorkerID][]RunStatus
 	clock         lwunit.Millis
+	evacuations   lwevacuation.Table
+	config        Config
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -39,6 +42,7 @@
 		},
 		pendingOrders: make(map[lwunit.WorkerID][]Order), lastEnd: make(map[lwunit.WorkerID]int64),
 		infos: make(map[lwunit.WorkerID]WorkerInfo), lists: make(map[lwunit.WorkerID][]RunStatus),
+		evacuations: make(lwevacuation.Table), config: DefaultConfig(),
 	}
 	f.startTerm(testTerm)
 	return f
@@ -46,9 +50,9 @@
 
 // startTerm replaces the core by that of a new leader, made from the table.
 func (f *fixture) startTerm(term uint64) {
-	in := ReplicatedState{Roster: f.table.Roster()}
+	in := ReplicatedState{Roster: f.table.Roster(), Evacuations: f.evacuations}
 	f.table.EachJob(func(j *lwjob.Job) { in.Jobs = append(in.Jobs, j) })
-	f.core = New(DefaultConfig(), term, f.now, f.wallClock, in)
+	f.core = New(f.config, term, f.now, f.wallClock, in)
 }
 
 // step lets the core schedule, commits what it proposes and keeps the orders for the
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -99,6 +99,7 @@
 		c.startRun(t, w, t.highestRun+1, slack)
 	}
 	if waiting {
+		c.noteEvacuationWait(s)
 		c.requestAdvice(s)
 	}
 }
@@ -204,6 +205,8 @@
 	switch {
 	case !w.enrolled || !w.listsCurrent || w.unresponsive || w.hasUnknownRuns || w.info.Draining || w.info.Service != s.job.queue.Service:
 		return false
+	case c.closedTo(s, w):
+		return false
 	case s.spec.RequiredLabel != "" && !slices.Contains(w.info.Labels, s.spec.RequiredLabel):
 		return false
 	case s.spec.MaxPerWorker > 0 && w.taskCount(s) >= s.spec.MaxPerWorker:
@@ -308,6 +311,7 @@
 		chosen = c.assignGang(s, c.sortedWorkers)
 	}
 	if chosen == nil {
+		c.noteEvacuationWait(s)
 		c.requestAdvice(s)
 		return
 	}
@@ -362,7 +366,7 @@
 	suspect, apart := c.isSuspect(s.tasks[0]), c.isApart(s.tasks[0])
 	for _, w := range list {
 		if c.eligible(s, w) && (!suspect || c.mayTakeSuspect(w, apart)) {
-			rooms[w] = &freeRoom{w.info.Capacity.Sub(w.reserved), w.taskCount(s)}
+			rooms[w] = &freeRoom{c.freeForGang(w), w.taskCount(s)}
 		}
 	}
 	chosen := make([]*worker, 0, len(s.tasks))
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -23,16 +23,17 @@
 		return Grant{CrashesRecorded: recorded}
 	}
 	c.updateInfo(w, m.Info)
+	c.noteWarmup(w)
 	if m.Token == w.token {
 		c.handleLists(w, m)
 	}
 	w.unresponsive = m.Unresponsive
 	if m.Unresponsive {
-		return Grant{Token: w.token, Cursor: w.cursor, CrashesRecorded: recorded}
+		return Grant{Token: w.token, Cursor: w.cursor, Evacuated: c.isEvacuated(w), CrashesRecorded: recorded}
 	}
 	w.reportedAt = c.now
 	w.leaseEnd = c.now + c.maxLeaseTime()
-	return Grant{Token: w.token, Lease: c.cfg.Lease, Cursor: w.cursor, FastReports: w.hasServingAndFilling(), CrashesRecorded: recorded}
+	return Grant{Token: w.token, Lease: c.cfg.Lease, Cursor: w.cursor, FastReports: w.hasServingAndFilling(), Evacuated: c.isEvacuated(w), CrashesRecorded: recorded}
 }
 
 // hasServingAndFilling reports whether a worker runs filling work together with
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -15,6 +15,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
+	"lavenderweir.example/lavenderweir/internal/control/lwevacuation"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
@@ -28,6 +29,8 @@
 	SuspicionPause    time.Duration // first pause of a worker that keeps failing tasks; it doubles each time
 	MaxTimeOverTarget time.Duration // limit of the time for which filling work may keep a tail latency over its target; it is paused after half of it
 	LoadControl       bool          // plan jobs, refuse those that cannot be of use, start copies and learn the speeds of workers
+	ColdOverage       float64       // a cold worker in a restored domain may be given at most this multiple of what it bears; 0 is 1
+	ColdSlack         int           // and at most this many tasks more
 	InterruptionLoss  time.Duration // mean time that a checkpointed run loses when it is stopped and resumed elsewhere; 0 if unknown
 }
 
@@ -80,15 +83,16 @@
 // The reasons for a refusal. Each one guarantees that the run does not exist on
 // the worker.
 const (
-	RefusedFence        RefusalReason = "fence"    // the worker has received a higher token
-	RefusedSuperseded   RefusalReason = "old"      // the same or a later run of the task has ended on the worker
-	RefusedLeaseExpired RefusalReason = "late"     // the lease had expired
-	RefusedNoCapacity   RefusalReason = "room"     // the worker has too little free capacity
-	RefusedTicket       RefusalReason = "ticket"   // no valid admission ticket
-	RefusedInvalid      RefusalReason = "invalid"  // the worker could not decode the order
-	RefusedUnhealthy    RefusalReason = "sick"     // the worker is unhealthy
-	RefusedStopped      RefusalReason = "blocked"  // the run was stopped before it began
-	RefusedDraining     RefusalReason = "draining" // the agent knows that the worker is draining
+	RefusedFence        RefusalReason = "fence"     // the worker has received a higher token
+	RefusedSuperseded   RefusalReason = "old"       // the same or a later run of the task has ended on the worker
+	RefusedLeaseExpired RefusalReason = "late"      // the lease had expired
+	RefusedNoCapacity   RefusalReason = "room"      // the worker has too little free capacity
+	RefusedTicket       RefusalReason = "ticket"    // no valid admission ticket
+	RefusedInvalid      RefusalReason = "invalid"   // the worker could not decode the order
+	RefusedUnhealthy    RefusalReason = "sick"      // the worker is unhealthy
+	RefusedStopped      RefusalReason = "blocked"   // the run was stopped before it began
+	RefusedDraining     RefusalReason = "draining"  // the agent knows that the worker is draining
+	RefusedEvacuated    RefusalReason = "evacuated" // the agent knows that the domain of the worker is evacuated
 )
 
 // Refusal reports that a run does not exist on a worker and never will.
@@ -185,6 +189,7 @@
 	Lease       time.Duration // from the time the agent sent the report; 0 grants no lease
 	Cursor      int64         // ends up to this number are recorded
 	FastReports bool          // the agent is to report more often
+	Evacuated   bool          // the domain of the worker is evacuated: the agent is to start nothing
 
 	CrashesRecorded []lwjob.WorkerIncarnation // whose reported crashes are recorded
 }
@@ -210,6 +215,7 @@
 	DecidedCapacity      DecisionKind = "worker_capacity_changed"
 	DecidedCrash         DecisionKind = "worker_crashed"
 	DecidedGiveUp        DecisionKind = "task_given_up"
+	DecidedWait          DecisionKind = "task_waits"
 )
 
 // Decision is one line of the decision log.
@@ -251,4 +257,5 @@
 	Jobs         []*lwjob.Job
 	Roster       []lwjob.RosterEntry
 	Interference []lwjob.Interference
+	Evacuations  lwevacuation.Table
 }
