Refuse starts at agents of an evacuated domain

An order that reaches its agent late must not start a task. Each reply to a report now says whether the worker's domain is evacuated; an agent that was told so refuses starts with reason evacuated, and blocks one that was sent and not answered before it reports it as refused. An agent that is cut off before it was told starts nothing once its lease has ended, as before. Runs go on and their lease is renewed.

--- a/internal/control/lwlink/queue.go
+++ b/internal/control/lwlink/queue.go
@@ -29,12 +29,14 @@
 	MethodOrders         = "agent.orders"
 	MethodProbeLeader    = "control.leader"
 	MethodAnnounce       = "control.announce"
+	MethodEvacuation     = "queue.evacuation"
+	MethodSetEvacuation  = "queue.set_evacuation"
 )
 
 // QueueMethods are the methods about queues and workers that only the leader serves.
 var QueueMethods = []string{
 	MethodSubmitQueueJob, MethodShowQueueJob, MethodCancelQueueJob, MethodConfigure, MethodConfiguration, MethodStartWave, MethodShowWave,
-	MethodReport, MethodProbeLeader,
+	MethodReport, MethodProbeLeader, MethodEvacuation, MethodSetEvacuation,
 }
 
 // RequestTarget is the host and the path of a caller's request. The leader maps
@@ -64,6 +66,7 @@
 	Lease            lwunit.Duration  `json:"lease"`                  // counted from when the agent sent the report; 0 grants no lease
 	Cursor           int64            `json:"cursor"`                 // ends up to this number are recorded
 	FastReports      bool             `json:"fast_reports,omitempty"` // asks the agent to report more often
+	Evacuated        bool             `json:"evacuated,omitempty"`    // the domain of the worker is evacuated; the agent starts nothing
 	ControlAddresses []string         `json:"control,omitempty"`      // RPC addresses of the replicas
 
 	CrashesRecorded []lwjob.WorkerIncarnation `json:"crashes_recorded,omitempty"` // need not be reported again
--- a/internal/worker/lwrunner/fake_test.go
+++ b/internal/worker/lwrunner/fake_test.go
@@ -196,6 +196,7 @@
 	reportsGivenUp int // reports whose reply came too late
 
 	recordsCrashes bool // reported crashes are recorded at once
+	evacuated      bool // the domain of the worker
 }
 
 func (l *fakeLeader) Report(ctx context.Context, m lwdispatch.Report) (lwlink.ReportReply, error) {
@@ -217,7 +218,7 @@
 	}
 	l.reports = append(l.reports, m)
 	l.receivedAt = append(l.receivedAt, time.Now())
-	res := lwlink.ReportReply{Token: l.token, Cursor: l.cursor}
+	res := lwlink.ReportReply{Token: l.token, Cursor: l.cursor, Evacuated: l.evacuated}
 	if !m.Unresponsive {
 		res.Lease = lwunit.Duration(l.lease)
 	}
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -85,6 +85,10 @@
 			r.handleRefusal(ctx, c, o, lwdispatch.RefusedDraining, mayHaveStarted)
 			return
 		}
+		if r.isEvacuated() {
+			r.handleRefusal(ctx, c, o, lwdispatch.RefusedEvacuated, mayHaveStarted)
+			return
+		}
 		if r.hasShrunk(assumed) {
 			r.handleRefusal(ctx, c, o, lwdispatch.RefusedNoCapacity, mayHaveStarted)
 			return
@@ -147,6 +151,15 @@
 	return r.info.Draining
 }
 
+// isEvacuated reports whether the leader has said that the domain of the worker is
+// evacuated. An agent that was not told so yet, because its reports are not answered,
+// starts nothing once its lease has ended.
+func (r *Runner) isEvacuated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.evacuated
+}
+
 // hasShrunk reports whether the worker has announced less capacity than a leader
 // assumed when it ordered a start. The leader will have heard of it when it places the
 // task again.
--- a/internal/worker/lwrunner/report.go
+++ b/internal/worker/lwrunner/report.go
@@ -146,6 +146,10 @@
 	}
 	r.adoptToken(res.Token, res.Cursor)
 	r.fastReports = res.FastReports
+	if r.evacuated != res.Evacuated {
+		r.evacuated = res.Evacuated
+		r.log.Info("domain of the worker", zap.String("worker", string(r.info.Incarnation.Worker)), zap.String("domain", string(r.info.Domain)), zap.Bool("evacuated", r.evacuated))
+	}
 	if res.Lease > 0 && !m.Unresponsive {
 		r.leaseDeadline = max(r.leaseDeadline, sentAt+res.Lease.Std())
 	}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -67,6 +67,7 @@
 	announceSeq      int64                            // of the newest announcement
 	token            lwdispatch.Token                 // highest fencing token received from a leader
 	leaseDeadline    time.Duration                    // end of the granted lease, on clock
+	evacuated        bool                             // the domain of the worker is evacuated, by the last reply to a report
 	cursor           int64                            // ends up to it are recorded by control
 	lists            RunLists
 	listsToken       lwdispatch.Token         // token under which lists were read; 0 before the first answer
@@ -110,6 +111,7 @@
 	r.knownEnds = make(map[runKey]bool)
 	r.held = make(map[runKey]heldRun)
 	r.brokenAt, r.silent = 0, false
+	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.starting = make(map[runKey]bool)
 	r.stopping = make(map[runKey]bool)
