Let operators evacuate and restore failure domains

POST /Evacuate.Begin/ZONE and /Evacuate.Finish/ZONE were answered with 404. The process asks the leader for the domain's record and sends it the order that rests on it; the leader acknowledges once a quorum has committed it, or if the domain already is as asked. A domain that the settings do not name, or a deployment without agreed evacuations, gets 404; any other failure 503. The dispatcher takes in the committed command before its next decision, and the table at the begin of its term. Leases last at most four fifths of the bound of an evacuation, for agents that are cut off: still 4 s with the agreed bound of 5 s.

A replica of an older version ends at a committed command that it does not know. The status of a replica now says that it knows the command; the leader refuses orders while a member has answered without that, or while no quorum has answered. Members that do not answer stop no evacuation, since their machines may be why it is asked.

Lines evacuation and evacuation_in_force and three metrics show it. Tested: a leader killed after the acknowledgement, a lost disk, an expired lease, no quorum, resends, late duplicates and older members. Without the table of a new term, the learning of the command or the check of older members, the tests fail. All tests of lwcontrol pass.

--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -77,7 +77,8 @@
 		n.control, err = lwcontrol.Start(lwcontrol.Config{
 			Name: n.settings.Name, Address: h.RPCAddress(), Domain: n.settings.FailureDomain, Folder: h.DataFolder, SnapshotSize: h.SnapshotSize,
 			Seeds: h.ControlAddresses(), JoinOnly: !h.Bootstrap, Voters: h.Voters(), Lease: lwlease.DefaultConfig(), Placement: lwplacement.DefaultConfig(),
-			Dispatch: dispatchConfig(h), Advisor: advisor, Seed: rand.Uint64(),
+			Evacuations: lwcontrol.Evacuations{Agreed: h.Bounds.Evacuation > 0, Domains: h.FailureDomains},
+			Dispatch:    dispatchConfig(h), Advisor: advisor, Seed: rand.Uint64(),
 		}, n.endpoint, n.log)
 		if err != nil {
 			return err
@@ -129,6 +130,12 @@
 	cfg, b := lwdispatch.DefaultConfig(), h.Bounds
 	cfg.LoadControl, cfg.InterruptionLoss = h.LoadControl(), b.InterruptionLoss()
 	cfg.Lease = min(cfg.Lease, b.MaxLease.Std())
+	if b.Evacuation > 0 {
+		// An agent that is cut off may start tasks until its lease ends. The rest of the
+		// bound is for the clocks and for a start on its way to the worker.
+		cfg.Lease = min(cfg.Lease, b.Evacuation.Std()*4/5)
+	}
+	cfg.ColdOverage, cfg.ColdSlack = b.ColdOverage, b.ColdSlack
 	if b.OffRackSlowdown > 0 {
 		cfg.OffRackSlowdown = b.OffRackSlowdown
 	}
--- a/internal/control/lwcontrol/bootstrap.go
+++ b/internal/control/lwcontrol/bootstrap.go
@@ -29,6 +29,8 @@
 	Peers   []string                  `json:"peers,omitempty"`   // RPC addresses of control processes that a relay knows
 	Leads   bool                      `json:"leads,omitempty"`   // the replica leads and holds its lease
 	Members map[lwunit.ReplicaID]bool `json:"members,omitempty"` // set by the leader
+
+	KnowsEvacuations bool `json:"knows_evacuations,omitempty"` // the replica can apply lwstate.SetEvacuation
 }
 
 // initParams bootstraps a group with its first membership.
@@ -55,7 +57,7 @@
 
 func (n *Node) status(_ json.RawMessage) (statusResult, error) {
 	res := statusResult{
-		Replica: n.id, Address: n.cfg.Address, Domain: n.cfg.Domain,
+		Replica: n.id, Address: n.cfg.Address, Domain: n.cfg.Domain, KnowsEvacuations: true,
 	}
 	n.mu.RLock()
 	res.Cluster = n.contents.Identity.Cluster
--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -77,7 +77,7 @@
 // of it. Commands come in log order.
 func (d *dispatcher) onApplied(rev lwunit.Revision, c lwstate.Command) {
 	switch c.(type) {
-	case lwstate.Configure, lwstate.AcceptQueueJob, lwstate.CancelQueueJob, lwstate.RecordRuns, lwstate.ChangeRoster:
+	case lwstate.Configure, lwstate.AcceptQueueJob, lwstate.CancelQueueJob, lwstate.RecordRuns, lwstate.ChangeRoster, lwstate.SetEvacuation:
 	default:
 		return
 	}
@@ -126,10 +126,11 @@
 	roster, jobs := 0, 0
 	r.read(func(s *lwstate.State) {
 		d.startRevision = s.Revision()
-		replicated := lwdispatch.ReplicatedState{Config: s.Queues().Config(), Roster: s.Queues().Roster(), Interference: s.Queues().Interference()}
+		replicated := lwdispatch.ReplicatedState{Config: s.Queues().Config(), Roster: s.Queues().Roster(), Interference: s.Queues().Interference(), Evacuations: s.Evacuations()}
 		s.Queues().EachJob(func(j *lwjob.Job) { replicated.Jobs = append(replicated.Jobs, j) })
 		d.core = lwdispatch.New(d.node.cfg.Dispatch, uint64(term), r.now(), wallClock(), replicated)
 		roster, jobs = len(replicated.Roster), len(replicated.Jobs)
+		d.noteEvacuations(s.Evacuations())
 	})
 	d.node.log.Info("dispatch began", zap.Uint64("term", uint64(term)), zap.Uint64("revision", uint64(d.startRevision)), zap.Int("roster", roster), zap.Int("jobs", jobs))
 }
@@ -163,13 +164,14 @@
 	r.read(func(s *lwstate.State) {
 		for _, ch := range list {
 			if ch.revision > d.startRevision {
-				d.applyChange(s.Queues(), ch.command)
+				d.applyChange(s, ch.command)
 			}
 		}
 	})
 }
 
-func (d *dispatcher) applyChange(t *lwjob.Table, c lwstate.Command) {
+func (d *dispatcher) applyChange(s *lwstate.State, c lwstate.Command) {
+	t := s.Queues()
 	switch c := c.(type) {
 	case lwstate.Configure:
 		d.core.Configure(t.Config())
@@ -192,6 +194,8 @@
 		for _, w := range c.Enrol {
 			d.core.RosterRecorded(w.Incarnation)
 		}
+	case lwstate.SetEvacuation:
+		d.applyEvacuation(s, c.Order.Domain)
 	}
 }
 
--- a/internal/control/lwcontrol/node.go
+++ b/internal/control/lwcontrol/node.go
@@ -57,7 +57,8 @@
 	Advisor      Advisor // nil if no queue asks the advice service
 	JoinOnly     bool    // the group exists already, so this node never bootstraps one
 	Voters       int     // in the group; 0 makes all of Seeds voters
-	Seed         uint64  // of the random numbers for elections, together with the start time
+	Evacuations  Evacuations
+	Seed         uint64 // of the random numbers for elections, together with the start time
 }
 
 // Node is one control replica in this process.
@@ -75,6 +76,8 @@
 	replacements map[string]replacement // by address of the learner
 	lastRemoval  removal
 
+	knowEvacuations map[lwunit.ReplicaID]bool // replicas that have answered that they can apply lwstate.SetEvacuation
+
 	initialMembership chan lwreplica.Membership // saved by onInit; ends join
 	watchers          *watchers
 	leader            *leader
--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -35,6 +35,8 @@
 	serve(n, lwlink.MethodShowWave, n.showWave)
 	serve(n, lwlink.MethodReport, n.report)
 	serve(n, lwlink.MethodProbeLeader, n.leaderProbe)
+	serve(n, lwlink.MethodEvacuation, n.evacuation)
+	serve(n, lwlink.MethodSetEvacuation, n.setEvacuation)
 }
 
 // serve registers a handler that needs a replica in a group. Until there is one,
@@ -305,6 +307,6 @@
 		return lwlink.ReportReply{}, lwfault.New(lwfault.NotLeader, "leadership was lost")
 	}
 	return lwlink.ReportReply{
-		Token: g.Token, Lease: lwunit.Duration(g.Lease), Cursor: g.Cursor, FastReports: g.FastReports, CrashesRecorded: g.CrashesRecorded, ControlAddresses: memberAddresses(r.currentView()),
+		Token: g.Token, Lease: lwunit.Duration(g.Lease), Cursor: g.Cursor, FastReports: g.FastReports, Evacuated: g.Evacuated, CrashesRecorded: g.CrashesRecorded, ControlAddresses: memberAddresses(r.currentView()),
 	}, nil
 }
