--- a/internal/command/lwexplain/explain.go
+++ b/internal/command/lwexplain/explain.go
@@ -104,7 +104,7 @@
 }
 
 // Summary counts the messages of the timeline, and the reasons for which tasks
-// ended, were lost, were ordered to stop or were refused. It returns a line of text
+// ended, were lost, were ordered to stop, were refused or had to wait. It returns a line of text
 // for each message and each reason.
 func Summary(timeline []Line) []string {
 	count := make(map[string]int)
@@ -112,7 +112,7 @@
 	for _, l := range timeline {
 		count[l.Message]++
 		for _, d := range l.Details {
-			if d.Name == "reason" && (l.Message == "task_ended" || l.Message == "task_lost" || l.Message == "task_stop_ordered" || l.Message == "task_start_refused") {
+			if d.Name == "reason" && (l.Message == "task_ended" || l.Message == "task_lost" || l.Message == "task_stop_ordered" || l.Message == "task_start_refused" || l.Message == "task_waits") {
 				reasons[l.Message+": "+d.Value]++
 			}
 		}
--- a/internal/command/lwexplain/explain_test.go
+++ b/internal/command/lwexplain/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -38,3 +39,15 @@
 		t.Errorf("Read returned %v, error %v; want no lines", timeline, err)
 	}
 }
+
+// An operator must find that a task waited because its domain was evacuated.
+func TestSummaryNamesTheCauseOfAWait(t *testing.T) {
+	const log = `{"time":"2026-10-27T01:23:38.000Z","msg":"task_waits","node":"c1","job":"5c0e7a21d94b36f8","task":"5c0e7a21d94b36f8.0.0.0","worker":"w1","reason":"domain a is evacuated"}`
+	timeline, err := lwexplain.Read(strings.NewReader(log), "5c0e7a21d94b36f8")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := lwexplain.Summary(timeline); !slices.Contains(got, "1 x task_waits: domain a is evacuated") {
+		t.Errorf("the summary is %q", got)
+	}
+}
