Start tasks in a restored domain only once its agents know

The agents of an evacuated domain refuse starts until the reply to a report says that it is restored, up to 0.4 s later. A refused member of a gang also stops the whole gang. The leader now notes what it told each agent, and gives a worker nothing until it has answered a report since the restoring. A worker whose agent was never told is used at once.

The new check in TestNothingStartsInEvacuatedDomain fails without it for all seven kinds of steps.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -120,6 +120,7 @@
 	imageLoad          map[string]float64 // share of its processors that each filling image uses, smoothed like the tail latencies
 	imageLoadAt        time.Duration
 	warmup             warmup
+	toldEvacuated      bool               // the agent was last told that the domain is evacuated, so it refuses starts
 	dirty              bool               // it has changed since changeStamp was set
 	changeStamp        uint64             // value of Core.stamp when Schedule last found it changed
 	fillingUse         float64            // cache of currentFillingUse; negative if not computed
--- a/internal/control/lwdispatch/evacuation.go
+++ b/internal/control/lwdispatch/evacuation.go
@@ -78,10 +78,19 @@
 // EvacuatedDomains returns the number of evacuated domains.
 func (c *Core) EvacuatedDomains() int { return len(c.evacuations.evacuated) }
 
+// tellEvacuated notes what the answer to a report says of the worker's domain.
+func (c *Core) tellEvacuated(w *worker) {
+	if told := c.isEvacuated(w); told != w.toldEvacuated {
+		w.toldEvacuated = told
+		w.invalidate()
+	}
+}
+
 // closedTo reports whether a step may not start on a worker now because of an evacuation:
-// its domain is evacuated, or ramps up and the worker is too cold.
+// its domain is evacuated, or its agent does not know yet that it no longer is, or the
+// domain ramps up and the worker is too cold.
 func (c *Core) closedTo(s *step, w *worker) bool {
-	if c.isEvacuated(w) {
+	if c.isEvacuated(w) || w.toldEvacuated {
 		return true
 	}
 	limit, ramping := c.rampLimit(w)
--- a/internal/control/lwdispatch/evacuation_test.go
+++ b/internal/control/lwdispatch/evacuation_test.go
@@ -81,6 +81,8 @@
 			}
 			expectStarts(t, f.takeStarts("w1"))
 			f.setEvacuated("a", false)
+			expectStarts(t, f.takeStarts("w1")) // its agent would refuse them until it is told
+			f.report("w1")
 			expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1", "j.0.0.1/1")
 		})
 	}
@@ -185,6 +187,14 @@
 		f.submit("k", tasks(1, 1, time.Minute))
 		expectStarts(t, f.takeStarts("w1"))
 	})
+	t.Run("a worker whose agent was not told of a short evacuation is used at once after it", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInDomain("w1", 8, "a"))
+		f.setEvacuated("a", true)
+		f.submit("j", tasks(1, 1, time.Second))
+		f.setEvacuated("a", false)
+		expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+	})
 	t.Run("the agent is told with each grant", func(t *testing.T) {
 		f := newFixture(t)
 		f.join(workerInDomain("w1", 8, "a"))
@@ -256,6 +266,7 @@
 		f.setEvacuated("a", true)
 		f.join(coldWorker("w1", "a", 20*time.Second, 1))
 		f.setEvacuated("a", false)
+		f.report("w1")
 		return f
 	}
 	t.Run("what a cold worker is given rises with the time it has been warming up", func(t *testing.T) {
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -28,12 +28,13 @@
 		c.handleLists(w, m)
 	}
 	w.unresponsive = m.Unresponsive
+	c.tellEvacuated(w)
 	if m.Unresponsive {
-		return Grant{Token: w.token, Cursor: w.cursor, Evacuated: c.isEvacuated(w), CrashesRecorded: recorded}
+		return Grant{Token: w.token, Cursor: w.cursor, Evacuated: w.toldEvacuated, CrashesRecorded: recorded}
 	}
 	w.reportedAt = c.now
 	w.leaseEnd = c.now + c.maxLeaseTime()
-	return Grant{Token: w.token, Lease: c.cfg.Lease, Cursor: w.cursor, FastReports: w.hasServingAndFilling(), Evacuated: c.isEvacuated(w), CrashesRecorded: recorded}
+	return Grant{Token: w.token, Lease: c.cfg.Lease, Cursor: w.cursor, FastReports: w.hasServingAndFilling(), Evacuated: w.toldEvacuated, CrashesRecorded: recorded}
 }
 
 // hasServingAndFilling reports whether a worker runs filling work together with
