Refuse placements and bindings in evacuated failure domains

A leader decides on the placement of a task, and an entry on the backend server of a non-idempotent request, before the command for it is committed. An evacuation may be committed in between, so the state machine now refuses both for workers of an evacuated domain. Attempts and bindings that were recorded before go on.

An order that changes a domain also advances the backend revision, since entries are to receive the evacuated domains together with the backend servers, as they receive the addresses of workers.

--- a/internal/control/lwstate/claim.go
+++ b/internal/control/lwstate/claim.go
@@ -31,6 +31,9 @@
 	if !announced || b.Leaving {
 		return Result{Err: lwfault.New(lwfault.NotFound, "backend server %s is not announced", c.Backend)}
 	}
+	if s.c.Evacuations.Evacuated(s.c.Workers[b.Worker].Spec.Domain) {
+		return Result{Err: lwfault.New(lwfault.NotFound, "backend server %s is in an evacuated failure domain", c.Backend)}
+	}
 	s.c.LastToken++
 	claim := &Claim{
 		Key: c.Key, Request: c.Request, Phase: ClaimBound, Token: s.c.LastToken, Backend: b.ID, Worker: b.Worker,
--- a/internal/control/lwstate/evacuation.go
+++ b/internal/control/lwstate/evacuation.go
@@ -17,6 +17,9 @@
 func (s *State) setEvacuation(c SetEvacuation) Result {
 	rec, outcome := s.c.Evacuations.Apply(c.Order, s.c.Revision, s.c.Clock)
 	res := Result{Evacuation: rec, Fresh: outcome == lwevacuation.Changed}
+	if res.Fresh {
+		s.c.BackendRevision = s.c.Revision // entries receive the evacuated domains together with the backend servers
+	}
 	if outcome == lwevacuation.Stale {
 		res.Err = lwfault.New(lwfault.Conflict, "the record of domain %s has revision %d; the order expected %d", c.Order.Domain, rec.Revision, c.Order.Expected)
 	}
--- a/internal/control/lwstate/job.go
+++ b/internal/control/lwstate/job.go
@@ -200,6 +200,9 @@
 	if !ok || w.Lost || w.Drain || w.Suspect != "" {
 		return "the worker does not exist or is lost, draining or suspect"
 	}
+	if s.c.Evacuations.Evacuated(w.Spec.Domain) {
+		return "the worker's failure domain is evacuated"
+	}
 	if p.Reserve.Negative() || !p.Reserve.Fits(s.Free(p.Worker)) {
 		return "the reserve does not fit on the worker"
 	}
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -314,8 +314,8 @@
 // PolicyRevision returns the revision at which an object last changed.
 func (s *State) PolicyRevision() lwunit.Revision { return s.c.PolicyRevision }
 
-// BackendRevision returns the revision at which a backend server, or the spec of
-// a worker, last changed.
+// BackendRevision returns the revision at which a backend server, the spec of a
+// worker or the evacuated failure domains last changed.
 func (s *State) BackendRevision() lwunit.Revision { return s.c.BackendRevision }
 
 // WorkerRevision returns the revision at which a task on the worker was last
