Send no requests to backend servers in evacuated failure domains

Entries learn of backend servers by their watches. The answers now name the evacuated failure domains, and an entry leaves out the backend servers there. Requests that run go on, and the address of the agent stays known, so that the outcome of a bound request can still be asked for. While all backend servers of a service are evacuated, requests are refused as not run, with that as the reason.

Control is upgraded before the entries. An entry of an older version ignores the names of the domains, so it is told that the backend servers there are leaving.

--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -177,10 +177,14 @@
 	if w.Role != lwlink.RoleEntry || s.BackendRevision() == w.BackendRevision {
 		return reply
 	}
-	reply.Backends = s.Backends()
+	reply.Backends, reply.Evacuated = s.Backends(), s.Evacuations().Domains()
 	seen := make(map[lwunit.WorkerID]bool)
-	for _, b := range reply.Backends {
-		if worker, ok := s.Worker(b.Worker); ok && !seen[b.Worker] {
+	for i, b := range reply.Backends {
+		worker, ok := s.Worker(b.Worker)
+		if !w.ObeysEvacuations && s.Evacuations().Evacuated(worker.Spec.Domain) {
+			reply.Backends[i].Leaving = true // an entry of an older version sends it no requests for this reason
+		}
+		if ok && !seen[b.Worker] {
 			seen[b.Worker] = true
 			reply.Workers = append(reply.Workers, lwlink.WorkerAddress{Worker: b.Worker, Domain: worker.Spec.Domain, GateAddress: worker.Spec.GateAddress})
 		}
--- a/internal/control/lwlink/message.go
+++ b/internal/control/lwlink/message.go
@@ -44,6 +44,9 @@
 	PolicyRevision  lwunit.Revision `json:"policy"`   // revision of the objects that the node has applied
 	BackendRevision lwunit.Revision `json:"backends"` // revision of the backend servers that it has applied; used only for entries
 	MaxWait         lwunit.Duration `json:"max_wait"`
+	// ObeysEvacuations says that the node applies WatchReply.Evacuated, which entries of
+	// older versions ignore.
+	ObeysEvacuations bool `json:"obeys_evacuations,omitempty"`
 }
 
 // WatchReply answers a Watch. It includes everything that was committed when the
@@ -53,8 +56,9 @@
 	Objects         []lwstate.ObjectRecord  `json:"objects,omitempty"` // changed after the watch's revision
 	Clock           lwunit.Millis           `json:"clock"`             // replicated clock
 	BackendRevision lwunit.Revision         `json:"backend_revision"`
-	Backends        []lwstate.BackendServer `json:"backends,omitempty"` // all of them, if any changed
-	Workers         []WorkerAddress         `json:"workers,omitempty"`  // workers of these backend servers
+	Backends        []lwstate.BackendServer `json:"backends,omitempty"`  // all of them, if any changed
+	Workers         []WorkerAddress         `json:"workers,omitempty"`   // workers of these backend servers
+	Evacuated       []lwunit.FailureDomain  `json:"evacuated,omitempty"` // all evacuated failure domains, if Backends is sent
 }
 
 // WorkerAddress is the address at which entries reach the agent of a worker.
--- a/internal/entry/lwentry/claim.go
+++ b/internal/entry/lwentry/claim.go
@@ -105,7 +105,7 @@
 func (e *Entry) bindAndSend(ctx context.Context, q *request, bind lwstate.BindClaim) (rebind bool, fault *claimFault) {
 	target, ok := q.service.router.Pick(q.tried)
 	if !ok {
-		return false, &claimFault{&lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no backend server is announced", RetryAfter: time.Second}, e.certainlyNotRun(ctx, bind)}
+		return false, &claimFault{e.policy.Load().noTargetFault(q.serviceName), e.certainlyNotRun(ctx, bind)}
 	}
 	q.tried = append(q.tried, target.Backend)
 	bind.Backend = target.Backend
--- a/internal/entry/lwentry/entry.go
+++ b/internal/entry/lwentry/entry.go
@@ -119,7 +119,8 @@
 	backendRevision lwunit.Revision
 	backends        []lwstate.BackendServer
 	agents          map[lwunit.WorkerID]lwroute.Target // failure domain and agent address of each worker; Backend and Incarnation are empty
-	grants          map[string]grant                   // by the SHA-256 digest of the token
+	evacuated       []lwunit.FailureDomain
+	grants          map[string]grant // by the SHA-256 digest of the token
 	clock           lwunit.Millis
 	confirmedAt     time.Time // when the watch was sent; control confirmed the policy no earlier
 }
@@ -260,7 +261,7 @@
 	old := e.policy.Load()
 	watch := lwlink.Watch{
 		Node: e.cfg.Name, Role: lwlink.RoleEntry, PolicyRevision: old.revision, BackendRevision: old.backendRevision,
-		MaxWait: lwunit.Duration(watchMaxWait),
+		MaxWait: lwunit.Duration(watchMaxWait), ObeysEvacuations: true,
 	}
 	if old.confirmedAt.IsZero() {
 		watch.MaxWait = 0 // the entry is not ready before the first answer, so control must not hold it
@@ -298,7 +299,7 @@
 		next.grants = tokenGrants(next.objects)
 	}
 	if update.BackendRevision != old.backendRevision {
-		next.backendRevision, next.backends = update.BackendRevision, update.Backends
+		next.backendRevision, next.backends, next.evacuated = update.BackendRevision, update.Backends, update.Evacuated
 		next.agents = make(map[lwunit.WorkerID]lwroute.Target, len(update.Workers))
 		for _, w := range update.Workers {
 			next.agents[w.Worker] = lwroute.Target{Worker: w.Worker, Domain: w.Domain, AgentAddress: w.GateAddress}
@@ -328,7 +329,7 @@
 // service that was requested at this entry.
 func (e *Entry) updateTargets(p *policy) {
 	e.services.each(func(name lwunit.ServiceName, s *serviceState) {
-		s.router.SetTargets(lwroute.ServiceTargets(p.backends, name, p.agents))
+		s.router.SetTargets(p.targets(name))
 	})
 }
 
@@ -340,11 +341,26 @@
 		}
 		p := e.policy.Load()
 		r := lwroute.New(cfg, e.cfg.Seed)
-		r.SetTargets(lwroute.ServiceTargets(p.backends, name, p.agents))
+		r.SetTargets(p.targets(name))
 		return &serviceState{router: r, budget: lwroute.NewRetryBudget()}
 	})
 }
 
+// targets returns the backend servers to which requests for a service may be sent.
+func (p *policy) targets(name lwunit.ServiceName) []lwroute.Target {
+	return lwroute.ServiceTargets(p.backends, name, p.agents, p.evacuated)
+}
+
+// noTargetFault is the answer while there is no backend server to which requests for a
+// service may be sent.
+func (p *policy) noTargetFault(name lwunit.ServiceName) error {
+	detail := "no backend server of " + string(name) + " is announced"
+	if len(p.evacuated) > 0 && len(lwroute.ServiceTargets(p.backends, name, p.agents, nil)) > 0 {
+		detail = "all backend servers of " + string(name) + " are in evacuated failure domains"
+	}
+	return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: detail, RetryAfter: time.Second}
+}
+
 // teamSpec returns the spec of a team. An unknown team has the zero spec, which
 // sets no limit.
 func (p *policy) teamSpec(name lwunit.TeamName) lwticket.TeamSpec {
--- a/internal/entry/lwentry/request.go
+++ b/internal/entry/lwentry/request.go
@@ -227,8 +227,7 @@
 func (e *Entry) sendToNext(ctx context.Context, q *request) attempt {
 	target, ok := q.service.router.Pick(q.tried)
 	if !ok {
-		err := &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "no backend server of " + string(q.serviceName) + " is announced", RetryAfter: time.Second}
-		return attempt{err: err, notRun: true}
+		return attempt{err: e.policy.Load().noTargetFault(q.serviceName), notRun: true}
 	}
 	q.tried = append(q.tried, target.Backend)
 	return e.sendTo(ctx, q, target, nil)
--- a/internal/entry/lwroute/route.go
+++ b/internal/entry/lwroute/route.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -366,14 +367,14 @@
 	routeEjections.Add(1)
 }
 
-// ServiceTargets returns the backend servers of a service that are not leaving
-// and whose worker's agent is known. agents gives the failure domain and the
-// agent's address of each worker.
-func ServiceTargets(list []lwstate.BackendServer, service lwunit.ServiceName, agents map[lwunit.WorkerID]Target) []Target {
+// ServiceTargets returns the backend servers of a service that are not leaving,
+// whose worker's agent is known and whose failure domain is not evacuated. agents
+// gives the failure domain and the agent's address of each worker.
+func ServiceTargets(list []lwstate.BackendServer, service lwunit.ServiceName, agents map[lwunit.WorkerID]Target, evacuated []lwunit.FailureDomain) []Target {
 	var targets []Target
 	for _, b := range list {
 		agent, ok := agents[b.Worker]
-		if b.Service != service || b.Leaving || !ok {
+		if b.Service != service || b.Leaving || !ok || slices.Contains(evacuated, agent.Domain) {
 			continue
 		}
 		targets = append(targets, Target{Backend: b.ID, Worker: b.Worker, Incarnation: b.Incarnation, Domain: agent.Domain, AgentAddress: agent.AgentAddress})
--- a/internal/entry/lwroute/route_test.go
+++ b/internal/entry/lwroute/route_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/entry/lwroute"
 )
 
@@ -143,3 +144,28 @@
 	is.True(retries <= 1000/10+50)
 	is.True(retries >= 1000/10)
 }
+
+// Guards against requests to backend servers in an evacuated failure domain.
+func TestServersInEvacuatedDomainAreNoTargets(t *testing.T) {
+	list := []lwstate.BackendServer{{ID: "b0", Service: "s", Worker: "w0"}, {ID: "b1", Service: "s", Worker: "w1"}}
+	agents := map[lwunit.WorkerID]lwroute.Target{"w0": {Domain: "home"}, "w1": {Domain: "far"}}
+	for _, c := range []struct {
+		name      string
+		evacuated []lwunit.FailureDomain
+		want      []lwunit.BackendServerID
+	}{
+		{"none is evacuated", nil, []lwunit.BackendServerID{"b0", "b1"}},
+		{"a domain without servers", []lwunit.FailureDomain{"other"}, []lwunit.BackendServerID{"b0", "b1"}},
+		{"the domain of the entry", []lwunit.FailureDomain{"home"}, []lwunit.BackendServerID{"b1"}},
+		{"all", []lwunit.FailureDomain{"far", "home"}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var got []lwunit.BackendServerID
+			for _, target := range lwroute.ServiceTargets(list, "s", agents, c.evacuated) {
+				got = append(got, target.Backend)
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
