Let operators of the project's own deployments evacuate failure domains

The administration API had no call for it. GET /v1/domains lists the failure domains of the registered workers with the record of each and what is there; POST /v1/domains/{name}/evacuate and /restore set it and answer with the record. They use the client and the handlers of the provider's calls, with the same order of orders and the same check for older replicas. Which domains exist follows from the workers here, since the settings do not name them; an evacuated domain without workers can still be restored.

An order that another one has overtaken is answered with 503. An answer of kind unknown now has the outcome unknown; no call of the administration API gave that kind before, and it would have been labelled not_run.

--- a/internal/command/lwadmin/client.go
+++ b/internal/command/lwadmin/client.go
@@ -107,8 +107,10 @@
 // to send it again.
 func unknownOutcome(method, path, outcome string, cause error) error {
 	advice := "sending the same again is safe"
-	if strings.HasPrefix(path, "/v1/workers/") {
-		advice = "look at the worker before sending it again, which would undo what another operator has ordered since"
+	for prefix, object := range map[string]string{"/v1/workers/": "worker", "/v1/domains/": "domain"} {
+		if strings.HasPrefix(path, prefix) {
+			advice = "look at the " + object + " before sending it again, which would undo what another operator has ordered since"
+		}
 	}
 	return &lwfault.Fault{Kind: lwfault.Unknown, Detail: fmt.Sprintf("%s %s %s; %s", method, path, outcome, advice), Cause: cause}
 }
--- a/internal/command/lwadmin/client_test.go
+++ b/internal/command/lwadmin/client_test.go
@@ -64,6 +64,7 @@
 		{"the connection of a job breaks", cutOff, post("/v1/jobs"), lwfault.Unknown, safe},
 		{"the connection of a cancellation breaks", cutOff, remove, lwfault.Unknown, safe},
 		{"the connection of a drain breaks", cutOff, post("/v1/workers/w/drain"), lwfault.Unknown, "look at the worker"},
+		{"the connection of an evacuation breaks", cutOff, post("/v1/domains/d/evacuate"), lwfault.Unknown, "look at the domain"},
 		{"the connection of a query breaks", cutOff, get, lwfault.Unavailable, "GET /v1/jobs"},
 		{"the entry does not know the outcome", problem(lwheader.Unknown), post("/v1/jobs"), lwfault.Unknown, "no control leader answered in time"},
 		{"the entry refuses", problem(lwheader.NotRun), post("/v1/jobs"), lwfault.Unavailable, "no control leader answered in time"},
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -112,7 +112,7 @@
 	if s.Replica != nil {
 		cfg := lwcontrol.Config{
 			Name: s.Name, Address: s.RPCAddress, Domain: s.FailureDomain, Folder: s.Replica.Folder, SnapshotSize: s.Replica.SnapshotSize, Seeds: s.ControlAddresses,
-			Lease: opts.Lease, Placement: lwplacement.DefaultConfig(), Seed: mathrand.Uint64(),
+			Lease: opts.Lease, Placement: lwplacement.DefaultConfig(), Evacuations: lwcontrol.Evacuations{Agreed: true, OfWorkers: true}, Seed: mathrand.Uint64(),
 		}
 		if n.control, err = lwcontrol.Start(cfg, n.endpoint, n.log); err != nil {
 			return err
--- a/internal/control/lwcontrol/evacuation.go
+++ b/internal/control/lwcontrol/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwevacuation"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
@@ -34,28 +36,68 @@
 
 // Evacuations says which failure domains operators may evacuate.
 type Evacuations struct {
-	Agreed  bool                   // false refuses all orders as for domains that do not exist
-	Domains []lwunit.FailureDomain // all that exist; empty takes any name for one
+	Agreed    bool                   // false refuses all orders as for domains that do not exist
+	OfWorkers bool                   // those of the registered workers, on which all backend servers are; Domains is not used
+	Domains   []lwunit.FailureDomain // all that exist; empty takes any name for one
 }
 
-func (e Evacuations) check(d lwunit.FailureDomain) error {
-	if !e.Agreed || d == "" || (len(e.Domains) > 0 && !slices.Contains(e.Domains, d)) {
+func (e Evacuations) check(s *lwstate.State, d lwunit.FailureDomain) error {
+	exists := d != ""
+	switch {
+	case !e.Agreed:
+		exists = false
+	case e.OfWorkers:
+		exists = exists && slices.ContainsFunc(domainStatuses(s), func(x lwlink.DomainStatus) bool { return x.Name == d })
+	case len(e.Domains) > 0:
+		exists = exists && slices.Contains(e.Domains, d)
+	}
+	if !exists {
 		return lwfault.New(lwfault.NotFound, "there is no failure domain %q that may be evacuated", d)
 	}
 	return nil
 }
 
+// domainStatuses returns the failure domains of the registered workers, and those that
+// were ever evacuated, in order of their names.
+func domainStatuses(s *lwstate.State) []lwlink.DomainStatus {
+	byName := make(map[lwunit.FailureDomain]*lwlink.DomainStatus)
+	add := func(name lwunit.FailureDomain) *lwlink.DomainStatus {
+		if byName[name] == nil {
+			byName[name] = &lwlink.DomainStatus{Name: name, Record: s.Evacuations()[name]}
+		}
+		return byName[name]
+	}
+	for name := range s.Evacuations() {
+		add(name)
+	}
+	s.EachWorker(func(w *lwstate.Worker) {
+		if w.Spec.Domain == "" {
+			return
+		}
+		d := add(w.Spec.Domain)
+		d.Workers++
+		d.Tasks += len(s.TasksOnWorker(w.Spec.ID))
+		s.EachBackendOn(w.Spec.ID, func(lwstate.BackendServer) { d.Backends++ })
+	})
+	list := make([]lwlink.DomainStatus, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		list = append(list, *byName[name])
+	}
+	return list
+}
+
 // evacuation returns the record of a domain, under the leader's lease.
 func (n *Node) evacuation(_ context.Context, r *replica, _ *lwrpc.Session, domain lwunit.FailureDomain) (lwevacuation.Record, error) {
 	if err := n.dispatcher.lockAsLeader(r); err != nil {
 		return lwevacuation.Record{}, err
 	}
 	defer n.dispatcher.mu.Unlock()
-	if err := n.cfg.Evacuations.check(domain); err != nil {
+	var rec lwevacuation.Record
+	var err error
+	r.read(func(s *lwstate.State) { rec, err = s.Evacuations()[domain], n.cfg.Evacuations.check(s, domain) })
+	if err != nil {
 		return lwevacuation.Record{}, err
 	}
-	var rec lwevacuation.Record
-	r.read(func(s *lwstate.State) { rec = s.Evacuations()[domain] })
 	if !r.stillLeads(n.dispatcher.term) {
 		return lwevacuation.Record{}, lwfault.New(lwfault.NotLeader, "leadership was lost")
 	}
--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -238,6 +238,8 @@
 		for _, w := range s.Workers() {
 			res.Workers = append(res.Workers, lwlink.WorkerStatus{Worker: w, Free: s.Free(w.Spec.ID), Tasks: len(s.TasksOnWorker(w.Spec.ID))})
 		}
+	case lwlink.QueryDomains:
+		res.Domains = domainStatuses(s)
 	case lwlink.QueryBackends:
 		res.Backends = s.Backends()
 	case lwlink.QueryObjects:
--- a/internal/control/lwlink/message.go
+++ b/internal/control/lwlink/message.go
@@ -10,6 +10,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwevacuation"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
 )
@@ -134,6 +135,7 @@
 	QueryJob      QueryKind = "job"
 	QueryTasks    QueryKind = "tasks"
 	QueryWorkers  QueryKind = "workers"
+	QueryDomains  QueryKind = "domains"
 	QueryBackends QueryKind = "backend_servers"
 	QueryObjects  QueryKind = "objects"
 	QueryTickets  QueryKind = "tickets"
@@ -159,6 +161,7 @@
 	Jobs     []lwstate.Job           `json:"jobs,omitempty"`
 	Tasks    []lwstate.Task          `json:"tasks,omitempty"`
 	Workers  []WorkerStatus          `json:"workers,omitempty"`
+	Domains  []DomainStatus          `json:"domains,omitempty"`
 	Backends []lwstate.BackendServer `json:"backend_servers,omitempty"`
 	Objects  []lwstate.ObjectRecord  `json:"objects,omitempty"`
 	Tickets  []lwstate.TicketRecord  `json:"tickets,omitempty"`
@@ -174,6 +177,15 @@
 	Tasks int              `json:"tasks"`
 }
 
+// DomainStatus is a failure domain with the record of its last evacuation or restoring.
+type DomainStatus struct {
+	Name lwunit.FailureDomain `json:"name"`
+	lwevacuation.Record
+	Workers  int `json:"workers"`         // registered, the lost ones included
+	Backends int `json:"backend_servers"` // announced on them
+	Tasks    int `json:"tasks"`           // of teams' jobs that hold resources on them
+}
+
 // NodeStatus is the policy revision that a process last reported.
 type NodeStatus struct {
 	Node    string          `json:"node"`
--- a/internal/entry/lwentry/admin.go
+++ b/internal/entry/lwentry/admin.go
@@ -41,6 +41,9 @@
 	mux.HandleFunc("GET /v1/workers", e.requireOperator(e.getWorkers))
 	mux.HandleFunc("POST /v1/workers/{worker}/drain", e.requireOperator(e.setDrain(true)))
 	mux.HandleFunc("POST /v1/workers/{worker}/undrain", e.requireOperator(e.setDrain(false)))
+	mux.HandleFunc("GET /v1/domains", e.requireOperator(e.getDomains))
+	mux.HandleFunc("POST /v1/domains/{domain}/evacuate", e.requireOperator(e.setEvacuation(true)))
+	mux.HandleFunc("POST /v1/domains/{domain}/restore", e.requireOperator(e.setEvacuation(false)))
 	mux.HandleFunc("GET /v1/backend_servers", e.requireOperator(e.getBackends))
 	mux.HandleFunc("GET /v1/services", e.requireRole(lwticket.RoleCaller, e.getObjects(lwticket.KindService)))
 	mux.HandleFunc("GET /v1/teams", e.requireOperator(e.getObjects(lwticket.KindTeam)))
@@ -122,17 +125,21 @@
 }
 
 // writeResult answers an administration request. After an error of kind
-// Unavailable or Timeout a command may have been committed although its answer
-// was lost, so the outcome is unknown; any other error counts as proof that it had
-// no effect.
+// Unavailable, Timeout or Unknown a command may have been committed although its
+// answer was lost, so the outcome is unknown; any other error counts as proof that it
+// had no effect.
 func writeResult(w http.ResponseWriter, status int, v any, err error) {
 	if err == nil {
 		w.Header().Set(lwheader.Outcome, lwheader.Completed)
 		lwhttp.WriteJSON(w, status, v)
 		return
 	}
-	notRun := lwfault.KindOf(err) != lwfault.Unavailable && lwfault.KindOf(err) != lwfault.Timeout
-	writeFault(w, err, notRun)
+	switch lwfault.KindOf(err) {
+	case lwfault.Unavailable, lwfault.Timeout, lwfault.Unknown:
+		writeFault(w, err, false)
+	default:
+		writeFault(w, err, true)
+	}
 }
 
 func (e *Entry) postTicket(w http.ResponseWriter, r *http.Request, _ grant) {
@@ -283,6 +290,33 @@
 	}
 }
 
+func (e *Entry) getDomains(w http.ResponseWriter, r *http.Request, _ grant) {
+	res, err := e.control.Query(r.Context(), lwlink.Query{Kind: lwlink.QueryDomains})
+	writeResult(w, http.StatusOK, res.Domains, err)
+}
+
+// setEvacuation evacuates or restores a failure domain.
+func (e *Entry) setEvacuation(evacuate bool) adminHandler {
+	return func(w http.ResponseWriter, r *http.Request, g grant) {
+		by := "operator token of " + e.cfg.Name
+		if g.team != "" {
+			by = "team " + string(g.team) + " through " + e.cfg.Name
+		}
+		rec, err := e.control.SetEvacuation(r.Context(), lwunit.FailureDomain(r.PathValue("domain")), evacuate, by)
+		writeResult(w, http.StatusOK, rec, overtakenFault(err))
+	}
+}
+
+// overtakenFault turns the refusal of an order that another one has overtaken into one of
+// kind Unavailable: the operator may send the order again if it is still wanted. An earlier
+// attempt to deliver it may have taken effect before the other order did.
+func overtakenFault(err error) error {
+	if lwfault.KindOf(err) != lwfault.Conflict {
+		return err
+	}
+	return &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "another order for the domain came first", RetryAfter: time.Second, Cause: err}
+}
+
 // getObjects lists the objects of a kind, teams without their token digests.
 func (e *Entry) getObjects(kind lwticket.Kind) adminHandler {
 	return func(w http.ResponseWriter, r *http.Request, _ grant) {
