Test that requests finish in an evacuated domain

A request that runs when its domain is evacuated must get its answer from there, and a resend of a non-idempotent one must not run elsewhere. Both tests on loopback now wait until the entries have applied a later ticket, since a request that is sent too early may rightly go to the domain.

--- a/internal/entry/lwentry/domain_test.go
+++ b/internal/entry/lwentry/domain_test.go
@@ -15,6 +15,7 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/net/lwheader"
+	"lavenderweir.example/lavenderweir/internal/worker/lwstandin"
 )
 
 const evacuated = "hitoyoshi" // the domain of worker 1, its backend server and its agent
@@ -50,12 +51,13 @@
 	return sys.Backends[i].Total() - before
 }
 
-// awaitRequestsTo sends requests until backend server i gets some, or none.
-func (sys *testSystem) awaitRequestsTo(ctx context.Context, t *testing.T, i int, some bool) {
+// awaitEntries waits until the entries have applied what was committed before: an answer
+// with a ticket carries it too.
+func (sys *testSystem) awaitEntries(ctx context.Context, t *testing.T, ticket int) {
 	t.Helper()
-	for (sys.requestsTo(t, i) > 0) != some {
-		is.New(t).NoErr(ctx.Err())
-	}
+	text := fmt.Appendf(nil, `{"number": %d, "author": "test", "objects": [{"kind": "team", "name": "other", "spec": {"weight": %d}}]}`, ticket, ticket)
+	is.New(t).NoErr(sys.Operator().Post(ctx, "/v1/tickets", text, nil))
+	sys.awaitTicketInForce(t, ticket)
 }
 
 // Guards the whole path of an evacuation: the call of an operator, the commit, the watches
@@ -67,14 +69,15 @@
 	defer cancel()
 	is.Equal(len(sys.domains(ctx, t)), 3)
 	is.Equal(sys.domains(ctx, t)[evacuated], lwlink.DomainStatus{Name: evacuated, Workers: 1, Backends: 1})
-	sys.awaitRequestsTo(ctx, t, 1, true)
+	sys.awaitEntries(ctx, t, 2)
+	is.True(sys.requestsTo(t, 1) > 0)
 
 	rec := sys.setEvacuation(ctx, t, "evacuate")
 	is.True(rec.Evacuated)
 	is.True(rec.By != "")
 	is.Equal(sys.setEvacuation(ctx, t, "evacuate"), rec) // a resend
 	is.Equal(sys.domains(ctx, t)[evacuated].Record, rec)
-	sys.awaitRequestsTo(ctx, t, 1, false)
+	sys.awaitEntries(ctx, t, 3)
 	is.Equal(sys.requestsTo(t, 1), 0)
 	job := []byte(`{"id": "roll", "team": "t", "program": "print:10m", "tasks": 6, "needs": {"millicores": 1000, "memory": "1GiB"}}`)
 	is.NoErr(sys.Operator().Post(ctx, "/v1/jobs", job, nil))
@@ -83,7 +86,8 @@
 	is.Equal(sys.domains(ctx, t)[evacuated].Tasks, 0)
 
 	is.True(!sys.setEvacuation(ctx, t, "restore").Evacuated)
-	sys.awaitRequestsTo(ctx, t, 1, true)
+	sys.awaitEntries(ctx, t, 4)
+	is.True(sys.requestsTo(t, 1) > 0)
 	bound := []byte(`{"id": "bound", "team": "t", "program": "print:10m", "domain": "` + evacuated + `", "needs": {"millicores": 1000, "memory": "1GiB"}}`)
 	is.NoErr(sys.Operator().Post(ctx, "/v1/jobs", bound, nil))
 	is.NoErr(sys.AwaitRunning(ctx, "bound", 1))
@@ -109,3 +113,33 @@
 	}
 	is.New(t).Equal(sys.domains(ctx, t)["yatsushiro"].Record, lwevacuation.Record{})
 }
+
+// Requests that run in a domain when it is evacuated must finish there, and a resend of a
+// non-idempotent one must get its answer and not run it again elsewhere.
+func TestRequestsFinishInEvacuatedDomain(t *testing.T) {
+	is := is.New(t)
+	sys := startTestSystem(t, 3, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	release := make(chan struct{})
+	sys.Backends[1].SetBehaviour(lwstandin.Behaviour{Delay: func() time.Duration { <-release; return 0 }})
+	key := fmt.Sprintf("%d-evacuated", time.Now().Unix())
+	answers := make(chan answer, 2)
+	for _, k := range []string{"", key} {
+		go func() { answers <- sys.send(1, []byte("etch"), k, 20*time.Second) }() // entry 1 is in the domain too
+	}
+	for sys.Backends[1].Total() < 2 {
+		is.NoErr(ctx.Err())
+		time.Sleep(10 * time.Millisecond)
+	}
+	sys.setEvacuation(ctx, t, "evacuate")
+	sys.awaitEntries(ctx, t, 2)
+	is.Equal(sys.requestsTo(t, 1), 0)
+	close(release)
+	for range 2 {
+		is.Equal((<-answers).outcome, lwheader.Completed)
+	}
+	is.Equal(sys.send(0, []byte("etch"), key, 5*time.Second).outcome, lwheader.Completed)
+	is.Equal(sys.Backends[1].Runs(key), 1)
+	is.Equal(sys.runs(key), 1)
+}
