Place tasks by the learned speeds of workers

The placement cost ignored how long runs take on a worker, and one good run took back a worker that fails most of them. With LoadControl the leader learns from ends and from the progress of runs. The cost grows by the expected extra time; from a slowness of 2 a worker is given a part of its capacity; one that hangs or fails half of its runs is probed until its estimate is good again.

Without LoadControl nothing is learned: the earlier tests pass unchanged, and a slow worker is used as before (TestWorkerThatIsSlowWhileHealthyIsUsedLess). The new tests fail with the cost, the share, the filter of samples or the weight of failures taken out.

--- /dev/null
+++ b/internal/control/lwcontrol/decisions.go
@@ -0,0 +1,25 @@
+package lwcontrol
+
+import (
+	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+)
+
+var (
+	workersSuspected = lwmetric.Counter("workers_suspected_total")
+	workersFoundSlow = lwmetric.Counter("workers_found_slow_total")
+	workersTakenBack = lwmetric.Counter("workers_taken_back_total")
+)
+
+// countDecision counts the decisions that have a metric of their own.
+func countDecision(kind lwdispatch.DecisionKind) {
+	switch kind {
+	case lwdispatch.DecidedSuspect:
+		workersSuspected.Add(1)
+	case lwdispatch.DecidedSlow:
+		workersFoundSlow.Add(1)
+	case lwdispatch.DecidedTakenBack:
+		workersTakenBack.Add(1)
+	default:
+	}
+}
--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -238,6 +238,7 @@
 func (d *dispatcher) perform(ctx context.Context, r *replica, out lwdispatch.Effects) {
 	for _, x := range out.Decisions {
 		logDecision(d.node.decisionLog, x)
+		countDecision(x.Kind)
 	}
 	d.pendingRoster = mergeRoster(d.pendingRoster, out.Enrol, out.Dismiss)
 	d.changeRoster(ctx, r)
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -8,6 +8,7 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwblame"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+	"lavenderweir.example/lavenderweir/internal/control/lwspeed"
 )
 
 // runPhase is the state of a run as the leader knows it.
@@ -35,6 +36,8 @@
 	status          RunStatus     // as last listed
 	probationEnd    time.Duration // until then a crash of its worker is soon after its start; 0 unless workers have crashed under its task
 	apart           bool          // no other task starts on its worker until probationEnd
+	notComparable   bool          // its run time does not tell the speed of its worker
+	progress        lwspeed.Progress
 
 	// Model of the tail latency of a serving run, estimated from its samples.
 	baseTail         float64       // tail latency without interference, in milliseconds; 0 until the first sample
@@ -75,6 +78,7 @@
 	checkedStamp     uint64        // no worker had room for the step as of this value of Core.stamp; 0 if unknown
 	fullScanAt       time.Duration // when all workers were last searched in vain
 	maxCPURatio      float64       // highest CPU use of a task that was measured, as a ratio of the declared processors
+	lengths          []taskLength  // of tasks that are done
 }
 
 // job is one accepted job. An ended one is kept for runs that are still stopping.
@@ -112,8 +116,10 @@
 	highestEnd         int64             // highest end number that was taken in
 	cursor             int64             // highest end number that is recorded
 	health             health
-	probation          []*run // whose probation may not be over
-	overTarget         bool   // a tail latency on it is over its target
+	speed              lwspeed.Estimate // under load control, as of the last report
+	slow               bool             // it was logged as slow
+	probation          []*run           // whose probation may not be over
+	overTarget         bool             // a tail latency on it is over its target
 	overTargetSince    time.Duration
 	raisedAt           time.Duration      // when CPU shares were last raised or filling runs paused
 	imageLoad          map[string]float64 // share of its processors that each filling image uses, smoothed like the tail latencies
@@ -165,6 +171,7 @@
 	stamp              uint64                        // counts calls of Schedule; see worker.changeStamp
 	ready              []*step                       // steps that are ready and have tasks left
 	timed              []*step                       // steps that wait for the due time of their occurrence
+	speeds             speeds
 	effects            Effects
 }
 
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -35,6 +35,7 @@
 func (c *Core) applyEnd(w *worker, t *task, r *run, e lwjob.End) {
 	s := t.step
 	c.clearOutlivedCrashes(t, r)
+	c.observeEnd(w, t, r, e)
 	switch e.How {
 	case lwjob.EndDone:
 		c.recordSuccess(w)
--- a/internal/control/lwdispatch/estimate.go
+++ b/internal/control/lwdispatch/estimate.go
@@ -67,7 +67,7 @@
 // expectedTimeLeft returns the expected time until a run ends. For an adopted run, whose
 // start is unknown, it rests on the progress that the worker reports.
 func (c *Core) expectedTimeLeft(r *run) time.Duration {
-	total := c.expectedRunTime(r.task.step.job, r.task.step.spec)
+	total := c.expectedRunTimeOn(r.worker, r.task.step)
 	left := total - (c.now - r.orderedAt)
 	if r.adopted {
 		left = min(left, total/fullPercent*time.Duration(fullPercent-r.status.Progress))
--- a/internal/control/lwdispatch/health.go
+++ b/internal/control/lwdispatch/health.go
@@ -21,7 +21,18 @@
 	probedAt    time.Duration
 }
 
-func (c *Core) recordSuccess(w *worker) { w.health = health{} }
+// recordSuccess takes back a suspected worker. Under load control one that hangs or fails
+// most of its tasks is only probed again.
+func (c *Core) recordSuccess(w *worker) {
+	if c.cfg.LoadControl && w.health.suspicions > 0 {
+		if !w.speed.Fit() {
+			w.health.probing, w.health.failedJobs = false, nil
+			return
+		}
+		c.logDecision(Decision{Kind: DecidedTakenBack, Worker: w.info.Incarnation.Worker, Reason: "its probes ended well" + describeSpeed(w)})
+	}
+	w.health = health{}
+}
 
 // recordFailure counts a failed run. Only the first failure of a task counts: a
 // task that fails more than once is more likely at fault than its worker.
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -172,6 +172,7 @@
 	c.observeBackground()
 	c.consolidate()
 	c.dropEndedJobs()
+	c.forgetSpeeds()
 	c.enqueueDueSteps()
 }
 
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -215,7 +215,7 @@
 	if _, apart := c.onProbation(w); apart {
 		return false
 	}
-	return c.trusted(w)
+	return c.trusted(w) && c.withinSpeedShare(s, w)
 }
 
 // taskCount returns the number of runs of a step that may exist on the worker.
@@ -283,7 +283,7 @@
 	if w.info.WarmupTimeLeft > 0 {
 		cost++
 	}
-	return cost
+	return cost + c.speedCost(w)
 }
 
 const (
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -71,6 +71,7 @@
 			c.drainWorker(w)
 		}
 	}
+	c.observeLists(w, m.ListsAge.Std())
 	c.controlInterference(w)
 }
 
--- a/internal/control/lwdispatch/start.go
+++ b/internal/control/lwdispatch/start.go
@@ -10,6 +10,7 @@
 // its placement is committed, if its job records placements.
 func (c *Core) startRun(t *task, w *worker, id lwjob.RunID, slack time.Duration) {
 	r := &run{task: t, id: id, worker: w, phase: runOrdered, lastSentAt: c.now, orderedAt: c.now, cpuPercent: c.startPercent(t.step, w)}
+	r.notComparable = !comparableFromStart(r)
 	t.highestRun = id
 	c.addRun(r)
 	c.beginProbation(r)
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -210,6 +210,8 @@
 	DecidedCapacity      DecisionKind = "worker_capacity_changed"
 	DecidedCrash         DecisionKind = "worker_crashed"
 	DecidedGiveUp        DecisionKind = "task_given_up"
+	DecidedSlow          DecisionKind = "worker_slow"
+	DecidedTakenBack     DecisionKind = "worker_taken_back"
 )
 
 // Decision is one line of the decision log.
