--- a/internal/control/lwspeed/lengths.go
+++ b/internal/control/lwspeed/lengths.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// Probability returns the probability of a length, to the width of a bin.
+func (l *Lengths) Probability(r LogRatio) float64 { return max(minDensity, l.probability(binOf(r))) }
+
 // Typical returns the median length.
 func (l *Lengths) Typical() LogRatio {
 	sum := 0.0
@@ -111,7 +114,7 @@
 func (l *Lengths) likelihood(s Sample, slowness LogRatio) float64 {
 	i := binOf(s.Ratio - slowness)
 	if !s.AtLeast {
-		return max(minDensity, l.probability(i))
+		return l.Probability(s.Ratio - slowness)
 	}
 	sum := 0.0
 	for ; i < lengthBins; i++ {
--- a/internal/control/lwspeed/progress.go
+++ b/internal/control/lwspeed/progress.go
@@ -38,19 +38,24 @@
 // Percent returns the progress that was last reported.
 func (p *Progress) Percent() int { return p.percent }
 
+// Speed returns the time that all work of the task takes at the speed of this run until its
+// progress last changed, or 0 while too little is known, and the time since then.
+func (p *Progress) Speed(now time.Duration) (total, since time.Duration) {
+	if done := time.Duration(p.percent - p.startPercent); done >= minProgress {
+		total = (p.changedAt - p.startedAt) * fullProgress / done
+	}
+	return total, now - p.changedAt
+}
+
 // Total returns the time that all work of the task takes at the speed of this run so far,
 // standstills included, and whether that is only the least time because the run has stalled.
 // It is 0 while too little is known.
 func (p *Progress) Total(now, expected time.Duration) (total time.Duration, atLeast bool) {
-	done := time.Duration(p.percent - p.startPercent)
-	switch {
-	case p.StalledFor(now, expected) > 0:
-		return (now - p.startedAt) * fullProgress / (done + 1), true
-	case done < minProgress:
-		return 0, false
-	default:
-		return (p.changedAt - p.startedAt) * fullProgress / done, false
+	if p.StalledFor(now, expected) > 0 {
+		return (now - p.startedAt) * fullProgress / time.Duration(p.percent-p.startPercent+1), true
 	}
+	total, _ = p.Speed(now)
+	return total, false
 }
 
 // StalledFor returns for how long the progress has not changed, or 0 if the steps of the
@@ -61,9 +66,9 @@
 	if !p.begun || p.percent >= fullProgress {
 		return 0
 	}
-	total := tailFactor * expected
-	if done := p.percent - p.startPercent; done >= minProgress {
-		total = (p.changedAt - p.startedAt) * fullProgress / time.Duration(done)
+	total, _ := p.Speed(now)
+	if total == 0 {
+		total = tailFactor * expected
 	}
 	if still <= stallMargin+time.Duration(stallFraction*float64(total)) {
 		return 0
