Start copies of slow runs and resume slow runs elsewhere

A run that hangs or is on a slow worker held up its step until it ended by itself. With LoadControl the leader starts a second run of speculative tasks where that pays, and stops other checkpointed runs to resume them on a faster worker, if that gains more than an interruption loses.

New leaders adopt both runs and copy nothing while the other run may be on a worker that has not reported.

--- a/internal/control/lwcontrol/decisions.go
+++ b/internal/control/lwcontrol/decisions.go
@@ -9,6 +9,9 @@
 	workersSuspected = lwmetric.Counter("workers_suspected_total")
 	workersFoundSlow = lwmetric.Counter("workers_found_slow_total")
 	workersTakenBack = lwmetric.Counter("workers_taken_back_total")
+	copiesStarted    = lwmetric.Counter("copies_started_total")
+	copiesWon        = lwmetric.Counter("copies_won_total")
+	runsRestarted    = lwmetric.Counter("runs_restarted_total")
 )
 
 // countDecision counts the decisions that have a metric of their own.
@@ -20,6 +23,12 @@
 		workersFoundSlow.Add(1)
 	case lwdispatch.DecidedTakenBack:
 		workersTakenBack.Add(1)
+	case lwdispatch.DecidedCopy:
+		copiesStarted.Add(1)
+	case lwdispatch.DecidedCopyWon:
+		copiesWon.Add(1)
+	case lwdispatch.DecidedRestart:
+		runsRestarted.Add(1)
 	default:
 	}
 }
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -172,6 +172,7 @@
 	ready              []*step                       // steps that are ready and have tasks left
 	timed              []*step                       // steps that wait for the due time of their occurrence
 	speeds             speeds
+	speculatedAt       time.Duration // when runs that are slower than their kind were last searched
 	effects            Effects
 }
 
--- a/internal/control/lwdispatch/cpushare.go
+++ b/internal/control/lwdispatch/cpushare.go
@@ -179,7 +179,7 @@
 		r.throttledAt = c.now
 	}
 	r.cpuPercent, r.cpuPercentSetAt = percent, c.now
-	r.notComparable = r.notComparable || percent < fullPercent
+	r.measureAnew(c.now, percent)
 	r.worker.invalidate()
 	c.sendOrder(r.worker, LimitRunCPU{r.task.name, r.id, percent})
 	c.logDecision(Decision{Kind: DecidedCPUShare, CPUPercent: percent, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: r.worker.info.Incarnation.Worker, Reason: reason})
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -42,6 +42,7 @@
 		if r != nil && !r.adopted && !s.spec.LongRunning && len(t.failedRuns) == 0 && t.checkpoint == "" {
 			c.runTimesOf(s.job).add(c.now - r.orderedAt)
 		}
+		c.observeCopy(w, t, e.Run)
 		c.finishTask(t)
 	case lwjob.EndFailed:
 		if slices.Contains(t.failedRuns, e.Run) {
@@ -69,6 +70,7 @@
 			continue // the other members end by themselves
 		}
 		for _, r := range m.runs {
+			c.keepRunTime(r)
 			c.stopRun(r, "another copy of the task is done")
 		}
 	}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -23,6 +23,7 @@
 	for _, x := range list {
 		c.placeStep(x.step, x.slack)
 	}
+	c.speculate()
 }
 
 // mayStart reports whether a task of a step may be started now.
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -77,7 +77,7 @@
 
 // handleListedRun updates a listed run. A run that is not counted against the worker
 // is adopted, and then stopped if its job or task has ended or if another run of the
-// task exists and the step is not speculative. A run of an unknown task is only
+// task exists and the step is not speculative, or two if it is. A run of an unknown task is only
 // stopped.
 func (c *Core) handleListedRun(w *worker, status RunStatus) {
 	key := runKey{status.Task, status.Run}
@@ -87,7 +87,7 @@
 		if r.phase == runOrdered {
 			r.phase = runListed
 		}
-		if status.Checkpoint != "" {
+		if status.Checkpoint != "" && c.replacesCheckpoint(r) {
 			r.task.checkpoint = status.Checkpoint
 		}
 		return
@@ -102,11 +102,11 @@
 	r := &run{task: t, id: status.Run, worker: w, phase: runListed, orderedAt: c.now, adopted: true, lastSentAt: c.now, cpuPercent: fullPercent, status: status}
 	t.highestRun = max(t.highestRun, status.Run)
 	t.step.job.started = true
-	if status.Checkpoint != "" {
+	if status.Checkpoint != "" && c.replacesCheckpoint(r) {
 		t.checkpoint = status.Checkpoint
 	}
 	c.addRun(r)
-	if t.step.job.stopped || t.done || (len(t.runs) > 1 && !t.step.spec.Speculative) {
+	if t.step.job.stopped || t.done || c.tooManyRuns(t) {
 		c.stopRun(r, "its job or task has ended, or another run of the task exists")
 		return
 	}
--- a/internal/control/lwdispatch/speed.go
+++ b/internal/control/lwdispatch/speed.go
@@ -71,6 +71,13 @@
 		(s.PreferredRack == "" || slices.Contains(w.info.Labels, string(s.PreferredRack)))
 }
 
+// measureAnew notes that the CPU share of a run has changed, so that its progress from now
+// on has another speed.
+func (r *run) measureAnew(now time.Duration, percent int) {
+	r.notComparable = r.notComparable || percent < fullPercent
+	r.progress.Begin(now, r.status.Progress)
+}
+
 // isComparable reports whether the run time of a run up to now tells the speed of its
 // worker. It does not if the start of the run is unknown, or if a filling run gets too few
 // of the processors that others leave idle.
@@ -187,15 +194,7 @@
 // updateSpeed estimates the speed of a worker from the runs that have ended and those
 // that it lists. It suspects a worker that is of no use.
 func (c *Core) updateSpeed(w *worker) {
-	var running []lwspeed.Sample
-	same := make(map[*step]int)
-	for _, r := range w.sortedRuns() {
-		if x, ok := c.runningSample(r, same[r.task.step]); ok {
-			running = append(running, x)
-			same[r.task.step]++
-		}
-	}
-	w.speed = c.speedModel(w).Estimate(c.now, running)
+	w.speed = c.speedModel(w).Estimate(c.now, c.runningSamples(w, nil))
 	h := &w.health
 	if w.speed.Unfit() && (h.suspicions == 0 || h.probing && c.now-h.probedAt >= c.cfg.SuspicionPause) {
 		c.suspect(w, "it hangs or fails most tasks"+describeSpeed(w))
@@ -210,6 +209,23 @@
 	}
 }
 
+// runningSamples returns what the runs on a worker that have not ended tell of it. It
+// leaves out the run except, which may be nil.
+func (c *Core) runningSamples(w *worker, except *run) []lwspeed.Sample {
+	var list []lwspeed.Sample
+	same := make(map[*step]int)
+	for _, r := range w.sortedRuns() {
+		if r == except {
+			continue
+		}
+		if x, ok := c.runningSample(r, same[r.task.step]); ok {
+			list = append(list, x)
+			same[r.task.step]++
+		}
+	}
+	return list
+}
+
 // runningSample returns what a run that has not ended tells of its worker, if anything.
 func (c *Core) runningSample(r *run, same int) (lwspeed.Sample, bool) {
 	s := r.task.step
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -212,6 +212,9 @@
 	DecidedGiveUp        DecisionKind = "task_given_up"
 	DecidedSlow          DecisionKind = "worker_slow"
 	DecidedTakenBack     DecisionKind = "worker_taken_back"
+	DecidedCopy          DecisionKind = "copy_started"
+	DecidedCopyWon       DecisionKind = "copy_won"
+	DecidedRestart       DecisionKind = "run_restarted"
 )
 
 // Decision is one line of the decision log.
