Weigh runs that have not ended by how long they are seen

A task of 7 times the length is seen 7 times as long, so that long tasks are many of those that run at a time. The likelihood of a run that has not ended is now that of the tasks that run at a time, and a run that stands still is evidence of its own, whatever its length.

--- a/internal/control/lwdispatch/speed.go
+++ b/internal/control/lwdispatch/speed.go
@@ -233,18 +233,13 @@
 	if r.phase != runListed || !c.isComparable(r) || expected < comparableMillis*time.Millisecond {
 		return lwspeed.Sample{}, false
 	}
-	total, atLeast := time.Duration(0), false
-	if c.speeds.withProgress[s.job.queue.Key] {
-		total, atLeast = r.progress.Total(c.now, expected)
-	}
-	if age := c.now - r.orderedAt; age > total {
-		total, atLeast = age, true
-	}
-	if atLeast && total < expected {
+	total, _ := r.progress.Speed(c.now)
+	age, stalled := c.now-r.orderedAt, c.stalledFor(r) > 0
+	if total == 0 && age < expected && !stalled {
 		return lwspeed.Sample{}, false // it says hardly anything yet
 	}
-	x := c.sample(r, total, same)
-	x.AtLeast = atLeast
+	x := c.sample(r, max(total, age), same)
+	x.Running, x.AtLeast, x.Stalled = true, age > total, stalled
 	return x, true
 }
 
--- a/internal/control/lwspeed/lengths.go
+++ b/internal/control/lwspeed/lengths.go
@@ -39,13 +39,15 @@
 	maxWeight    = 300  // samples that are remembered
 	minDensity   = 1e-3 // of a bin, so that no sample rules out any slowness
 	uniformShare = 0.02 // of the prior that is spread over all bins
+	stallRate    = 0.02 // of runs that stand still by their own fault, on a worker that does not hang
 )
 
 // Lengths is the distribution of the lengths of the tasks of a queue, as LogRatio to
 // their expected run times on a typical worker. Old samples fade. It is not safe for concurrent use.
 type Lengths struct {
-	weights [lengthBins]float64
-	samples float64
+	weights    [lengthBins]float64
+	samples    float64
+	meanLength float64 // cache of the mean of the lengths themselves; 0 if not computed
 }
 
 var lengthPrior = func() (p [lengthBins]float64) {
@@ -80,6 +82,7 @@
 		}
 		l.samples -= l.samples / maxWeight
 	}
+	l.meanLength = 0
 	l.weights[binOf(r)]++
 	l.samples++
 }
@@ -110,15 +113,36 @@
 	return 0
 }
 
-// likelihood returns how likely a sample is on a worker of a given slowness.
+// likelihood returns how likely a sample is on a worker of a given slowness. Of the runs
+// that have not ended at some time, long ones are more than of those that end: a task of
+// 7 times the length is seen 7 times as long.
 func (l *Lengths) likelihood(s Sample, slowness LogRatio) float64 {
+	if s.Stalled {
+		if slowness >= hungSlowness {
+			return 1
+		}
+		return stallRate
+	}
 	i := binOf(s.Ratio - slowness)
+	if !s.Running {
+		return max(minDensity, l.probability(i))
+	}
 	if !s.AtLeast {
-		return l.Probability(s.Ratio - slowness)
+		return max(minDensity, l.runningProbability(i))
 	}
 	sum := 0.0
 	for ; i < lengthBins; i++ {
-		sum += l.probability(i)
+		sum += l.runningProbability(i)
 	}
 	return max(minDensity, sum)
 }
+
+// runningProbability returns the probability of a bin among runs that have not ended.
+func (l *Lengths) runningProbability(i int) float64 {
+	if l.meanLength == 0 {
+		for i := range lengthBins {
+			l.meanLength += l.probability(i) * binRatio(i).Factor()
+		}
+	}
+	return l.probability(i) * binRatio(i).Factor() / l.meanLength
+}
--- a/internal/control/lwspeed/progress.go
+++ b/internal/control/lwspeed/progress.go
@@ -47,17 +47,6 @@
 	return total, now - p.changedAt
 }
 
-// Total returns the time that all work of the task takes at the speed of this run so far,
-// standstills included, and whether that is only the least time because the run has stalled.
-// It is 0 while too little is known.
-func (p *Progress) Total(now, expected time.Duration) (total time.Duration, atLeast bool) {
-	if p.StalledFor(now, expected) > 0 {
-		return (now - p.startedAt) * fullProgress / time.Duration(p.percent-p.startPercent+1), true
-	}
-	total, _ = p.Speed(now)
-	return total, false
-}
-
 // StalledFor returns for how long the progress has not changed, or 0 if the steps of the
 // progress and the times of the reports explain that. Until the run has made some
 // progress, its task is taken to be as long as the tail of the expected time.
--- a/internal/control/lwspeed/worker.go
+++ b/internal/control/lwspeed/worker.go
@@ -24,7 +24,9 @@
 // Sample is the time that one run takes, compared with the expected run time.
 type Sample struct {
 	Ratio   LogRatio
-	AtLeast bool    // the run has not ended; it takes at least this long
+	Running bool    // the run has not ended; Ratio is what its progress so far suggests
+	AtLeast bool    // it takes at least this long; its progress suggests nothing
+	Stalled bool    // its progress stands still; Ratio says nothing
 	Weight  float64 // from 0 to 1; less for a run whose task resembles one that was counted
 	Lengths *Lengths
 }
