Fill a worker that was taken back by and by

A worker that fails 70% of its tasks was suspected, taken back after two good probes and filled at once, so that it failed most of what it was given until it was suspected again, with the shortest pause. Its pauses now go on from where they were for 30 s, and the part of its capacity that it is given rises over twice the pause.

The test of the ramp and that of the pauses fail without it.

--- a/internal/control/lwdispatch/health.go
+++ b/internal/control/lwdispatch/health.go
@@ -19,19 +19,48 @@
 	suspicions  int                   // in a row
 	probing     bool                  // a task was started after the last suspicion
 	probedAt    time.Duration
+
+	timesTakenBack int // in a row, each within flapMemory of the one before
+	takenBackAt    time.Duration
+}
+
+// flapMemory is how long a suspected worker must be of use after it was taken back for its
+// pauses to begin from the shortest again.
+const flapMemory = 30 * time.Second
+
+// rampUp returns the part of its capacity that a worker may be given since it was taken
+// back. It rises for longer each time: a worker that flaps would be filled at once and fail it all.
+func (c *Core) rampUp(w *worker) float64 {
+	n := c.recentFlaps(&w.health)
+	if n == 0 {
+		return 1
+	}
+	length := min(c.cfg.SuspicionPause<<min(n, 5), flapMemory)
+	return min(1, float64(c.now-w.health.takenBackAt)/float64(length))
+}
+
+// recentFlaps returns how often the worker was taken back of late.
+func (c *Core) recentFlaps(h *health) int {
+	if h.timesTakenBack > 0 && c.now-h.takenBackAt < flapMemory {
+		return h.timesTakenBack
+	}
+	return 0
 }
 
 // recordSuccess takes back a suspected worker. Under load control one that hangs or fails
 // most of its tasks is only probed again.
 func (c *Core) recordSuccess(w *worker) {
-	if c.cfg.LoadControl && w.health.suspicions > 0 {
+	h := &w.health
+	next := health{timesTakenBack: h.timesTakenBack, takenBackAt: h.takenBackAt}
+	if c.cfg.LoadControl && h.suspicions > 0 {
 		if !w.speed.Fit() {
-			w.health.probing, w.health.failedJobs = false, nil
+			h.probing, h.failedJobs = false, nil
 			return
 		}
+		next = health{timesTakenBack: c.recentFlaps(h) + 1, takenBackAt: c.now}
 		c.logDecision(Decision{Kind: DecidedTakenBack, Worker: w.info.Incarnation.Worker, Reason: "its probes ended well" + describeSpeed(w)})
 	}
-	w.health = health{}
+	w.health = next
 }
 
 // recordFailure counts a failed run. Only the first failure of a task counts: a
@@ -50,11 +79,11 @@
 	}
 }
 
-// suspect gives a worker no tasks for a pause, which doubles with each suspicion
-// up to a limit.
+// suspect gives a worker no tasks for a pause, which doubles with each suspicion, and each
+// time that the worker was taken back of late, up to a limit.
 func (c *Core) suspect(w *worker, reason string) {
 	h := &w.health
-	pause := min(c.cfg.SuspicionPause<<min(h.suspicions, 4), maxSuspicionPause)
+	pause := min(c.cfg.SuspicionPause<<min(h.suspicions+c.recentFlaps(h), 4), maxSuspicionPause)
 	h.suspicions++
 	h.pausedUntil = c.now + pause
 	h.probing = false
--- a/internal/control/lwdispatch/speed.go
+++ b/internal/control/lwdispatch/speed.go
@@ -258,9 +258,16 @@
 
 // withinSpeedShare reports whether a slow worker may take another task: it is given a part
 // of its capacity in proportion to its speed. It always takes one task if none of its runs
-// tells whether it is still slow.
+// tells whether it is still slow. A worker that was taken back is filled by and by.
 func (c *Core) withinSpeedShare(s *step, w *worker) bool {
-	if !c.cfg.LoadControl || w.speed.Slowness() < shareFrom {
+	if !c.cfg.LoadControl {
+		return true
+	}
+	used := float64(w.reserved.Millicores + w.fillingDeclared + s.spec.Need.Millicores)
+	if part := c.rampUp(w); part < 1 && len(w.runs) > 0 && used > part*float64(w.info.Capacity.Millicores) {
+		return false
+	}
+	if w.speed.Slowness() < shareFrom {
 		return true
 	}
 	measured := false
@@ -270,8 +277,7 @@
 	if !measured {
 		return true
 	}
-	used := w.reserved.Millicores + w.fillingDeclared + s.spec.Need.Millicores
-	return float64(used)*w.speed.Slowness() <= float64(w.info.Capacity.Millicores)
+	return used*w.speed.Slowness() <= float64(w.info.Capacity.Millicores)
 }
 
 // expectedRunTimeOn returns the expected run time of a step's tasks on a worker.
--- a/internal/control/lwdispatch/speed_test.go
+++ b/internal/control/lwdispatch/speed_test.go
@@ -235,6 +235,37 @@
 	}
 }
 
+func TestPausesOfAWorkerThatFlapsGrow(t *testing.T) {
+	f := newLoadFixture(t, "w1")
+	w := f.core.workers[f.infos["w1"].Incarnation]
+	cycle := func() time.Duration {
+		f.core.suspect(w, "test")
+		pause := w.health.pausedUntil - f.now
+		f.core.recordSuccess(w)
+		f.core.recordSuccess(w) // a run after that it was taken back
+		return pause
+	}
+	if first, second, third := cycle(), cycle(), cycle(); second != 2*first || third != 2*second {
+		t.Errorf("the pauses are %v, %v and %v, want doubled ones", first, second, third)
+	}
+	f.work(flapMemory, nil)
+	if got := cycle(); got != f.core.cfg.SuspicionPause {
+		t.Errorf("the pause after a long good time is %v, want the first one", got)
+	}
+}
+
+func TestWorkerThatWasTakenBackIsFilledByAndBy(t *testing.T) {
+	f := newLoadFixture(t, "w1")
+	w := f.core.workers[f.infos["w1"].Incarnation]
+	f.core.suspect(w, "test")
+	f.core.recordSuccess(w)
+	f.work(time.Second, nil)
+	f.submit("j", tasks(4, 1, time.Hour))
+	expectStarts(t, f.startAll("w1"), "j.0.0.0/1", "j.0.0.1/1")
+	f.work(time.Second, nil)
+	expectStarts(t, f.startAll("w1"), "j.0.0.2/1", "j.0.0.3/1")
+}
+
 func TestFailuresOfABadJobAreNotBlamedOnTheWorker(t *testing.T) {
 	f := newLoadFixture(t, "w1")
 	f.queue.MaxAttempts = 5
