Test that long tasks that run at a time do not make their worker slow

TestHungWorkers covers the estimate only, not that the leader says which runs have not ended. Without that, the worker of the new test counts as 10 times as slow.

--- a/internal/control/lwdispatch/speed_test.go
+++ b/internal/control/lwdispatch/speed_test.go
@@ -120,6 +120,22 @@
 	expectSlowness(t, f, "w1", 0.8, slowFrom)
 }
 
+func TestLongTasksThatRunAtATimeDoNotMakeTheirWorkerSlow(t *testing.T) {
+	f := newLoadFixture(t, "w1", "w2")
+	for _, job := range []string{"a", "b", "c", "d"} {
+		first, second := f.begin(job, tasks(1, 1, time.Second))
+		f.work(time.Second, map[lwunit.WorkerID]int{"w1": 24, "w2": 24})
+		f.endRun("w1", first, lwjob.EndDone)
+		f.endRun("w2", second, lwjob.EndDone)
+	}
+	for _, job := range []string{"long1", "long2"} {
+		_, second := f.begin(job, tasks(1, 1, time.Second))
+		f.endRun("w2", second, lwjob.EndDone)
+	}
+	f.work(4*time.Second, map[lwunit.WorkerID]int{"w1": 4})
+	expectSlowness(t, f, "w1", 0.8, slowFrom)
+}
+
 func TestWrongDeclaredTimesOfOneStepDoNotMakeAWorkerSlow(t *testing.T) {
 	f := newLoadFixture(t, "w1")
 	f.submit("j", tasks(4, 1, time.Second))
