--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -23,6 +23,7 @@
 	for _, x := range list {
 		c.placeStep(x.step, x.slack)
 	}
+	c.speculate()
 }
 
 // mayStart reports whether a task of a step may be started now.
@@ -218,7 +219,7 @@
 	if _, apart := c.onProbation(w); apart {
 		return false
 	}
-	return c.trusted(w)
+	return c.trusted(w) && c.withinSpeedShare(s, w)
 }
 
 // taskCount returns the number of runs of a step that may exist on the worker.
@@ -286,7 +287,7 @@
 	if w.info.WarmupTimeLeft > 0 {
 		cost++
 	}
-	return cost
+	return cost + c.speedCost(w)
 }
 
 const (
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -216,6 +216,11 @@
 	DecidedCrash         DecisionKind = "worker_crashed"
 	DecidedGiveUp        DecisionKind = "task_given_up"
 	DecidedWait          DecisionKind = "task_waits"
+	DecidedSlow          DecisionKind = "worker_slow"
+	DecidedTakenBack     DecisionKind = "worker_taken_back"
+	DecidedCopy          DecisionKind = "copy_started"
+	DecidedCopyWon       DecisionKind = "copy_won"
+	DecidedRestart       DecisionKind = "run_restarted"
 )
 
 // Decision is one line of the decision log.
