--- a/internal/base/lwsetting/hosted.go
+++ b/internal/base/lwsetting/hosted.go
@@ -45,7 +45,8 @@
 	// FailureDomains are the names of all failure domains; without them every name is
 	// taken for one.
 	FailureDomains []lwunit.FailureDomain `json:"failure_domains,omitempty"`
-	Load           LoadMode               `json:"load,omitempty"` // empty is LoadAuto
+	Load           LoadMode               `json:"load,omitempty"`      // empty is LoadAuto
+	Admission      bool                   `json:"admission,omitempty"` // refuse jobs of filling work that would end after their objective
 }
 
 // LoadMode says whether the leader plans which jobs it can finish in time, refuses those
--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -128,6 +128,7 @@
 
 func dispatchConfig(h *lwsetting.Hosted) lwdispatch.Config {
 	cfg, b := lwdispatch.DefaultConfig(), h.Bounds
+	cfg.Admission = h.Admission
 	cfg.LoadControl, cfg.InterruptionLoss = h.LoadControl(), b.InterruptionLoss()
 	cfg.Lease = min(cfg.Lease, b.MaxLease.Std())
 	if b.Evacuation > 0 {
--- a/internal/control/lwcontrol/decisions.go
+++ b/internal/control/lwcontrol/decisions.go
@@ -6,12 +6,15 @@
 )
 
 var (
-	workersSuspected = lwmetric.Counter("workers_suspected_total")
-	workersFoundSlow = lwmetric.Counter("workers_found_slow_total")
-	workersTakenBack = lwmetric.Counter("workers_taken_back_total")
-	copiesStarted    = lwmetric.Counter("copies_started_total")
-	copiesWon        = lwmetric.Counter("copies_won_total")
-	runsRestarted    = lwmetric.Counter("runs_restarted_total")
+	workersSuspected  = lwmetric.Counter("workers_suspected_total")
+	workersFoundSlow  = lwmetric.Counter("workers_found_slow_total")
+	workersTakenBack  = lwmetric.Counter("workers_taken_back_total")
+	copiesStarted     = lwmetric.Counter("copies_started_total")
+	copiesWon         = lwmetric.Counter("copies_won_total")
+	runsRestarted     = lwmetric.Counter("runs_restarted_total")
+	jobsRefusedByPlan = lwmetric.Counter("jobs_refused_by_plan_total")
+	wrongRefusals     = lwmetric.Counter("jobs_refused_though_servable_total")
+	jobsLate          = lwmetric.Counter("jobs_accepted_but_late_total")
 )
 
 // countDecision counts the decisions that have a metric of their own.
@@ -29,6 +32,12 @@
 		copiesWon.Add(1)
 	case lwdispatch.DecidedRestart:
 		runsRestarted.Add(1)
+	case lwdispatch.DecidedRefuseJob:
+		jobsRefusedByPlan.Add(1)
+	case lwdispatch.DecidedWrongRefusal:
+		wrongRefusals.Add(1)
+	case lwdispatch.DecidedLate:
+		jobsLate.Add(1)
 	default:
 	}
 }
--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -140,7 +140,14 @@
 	if err != nil || known {
 		return job, known, err
 	}
-	return job, false, job.Spec.Check()
+	if err := job.Spec.Check(); err != nil {
+		return job, false, err
+	}
+	if a := n.dispatcher.core.Admit(&job.Spec, job.Queue); a.Refused {
+		n.dispatcher.wake() // it logs the decision
+		return job, false, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the job would end after its objective", RetryAfter: max(time.Second, a.RetryAfter)}
+	}
+	return job, false, nil
 }
 
 func (n *Node) showQueueJob(_ context.Context, r *replica, _ *lwrpc.Session, target lwlink.RequestTarget) (lwlink.QueueJobStatus, error) {
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -176,6 +176,8 @@
 	timed              []*step                       // steps that wait for the due time of their occurrence
 	evacuations        evacuations
 	speeds             speeds
+	fillingPools       map[lwunit.ServiceName]*fillingPool // empty without admission control
+	poolsUpdatedAt     time.Duration
 	speculatedAt       time.Duration // when runs that are slower than their kind were last searched
 	effects            Effects
 }
@@ -188,7 +190,7 @@
 	c := &Core{
 		cfg: cfg, term: term, now: now, termStart: now, wallClock: wallClock, config: in.Config,
 		jobs: make(map[lwunit.JobID]*job), endedJobs: make(map[lwunit.JobID]*job), endedEarlier: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerIncarnation]*worker), incarnationByAgent: make(map[string]lwjob.WorkerIncarnation), lastTokens: make(map[lwjob.WorkerIncarnation]Token),
-		missing: make(map[lwjob.WorkerIncarnation]missingWorker), crashes: make(map[lwjob.WorkerIncarnation]*workerCrash), explained: make(map[lwjob.WorkerIncarnation]lwunit.TaskID), backgroundAt: now, runTimes: make(map[lwconfig.QueueKey]*runTimeStats), gains: make(pairGains), meanBaseTails: make(map[string]float64), fillingDemand: make(map[string]float64), meanJobWork: make(map[lwconfig.QueueKey]float64),
+		missing: make(map[lwjob.WorkerIncarnation]missingWorker), crashes: make(map[lwjob.WorkerIncarnation]*workerCrash), explained: make(map[lwjob.WorkerIncarnation]lwunit.TaskID), backgroundAt: now, runTimes: make(map[lwconfig.QueueKey]*runTimeStats), gains: make(pairGains), meanBaseTails: make(map[string]float64), fillingDemand: make(map[string]float64), meanJobWork: make(map[lwconfig.QueueKey]float64), fillingPools: make(map[lwunit.ServiceName]*fillingPool),
 	}
 	c.gains.restore(in.Interference, now)
 	c.SetEvacuations(in.Evacuations)
@@ -239,6 +241,9 @@
 		return
 	}
 	delete(c.jobs, id)
+	if j.tasksLeft() == 0 {
+		c.observeCompletion(j)
+	}
 	c.endedJobs[id] = j
 	j.endedAt = c.now
 	c.stopJob(j, reason)
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -13,6 +13,7 @@
 func (c *Core) Schedule() {
 	c.enqueueDueSteps()
 	c.stampChanged()
+	c.updatePools()
 	list := make([]candidate, 0, len(c.ready))
 	for _, s := range c.ready {
 		if c.mayStart(s) {
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -29,6 +29,7 @@
 	SuspicionPause    time.Duration // first pause of a worker that keeps failing tasks; it doubles each time
 	MaxTimeOverTarget time.Duration // limit of the time for which filling work may keep a tail latency over its target; it is paused after half of it
 	LoadControl       bool          // plan jobs, refuse those that cannot be of use, start copies and learn the speeds of workers
+	Admission         bool          // refuse jobs of filling work that would end after their objective
 	ColdOverage       float64       // a cold worker in a restored domain may be given at most this multiple of what it bears; 0 is 1
 	ColdSlack         int           // and at most this many tasks more
 	InterruptionLoss  time.Duration // mean time that a checkpointed run loses when it is stopped and resumed elsewhere; 0 if unknown
@@ -216,6 +217,9 @@
 	DecidedCrash         DecisionKind = "worker_crashed"
 	DecidedGiveUp        DecisionKind = "task_given_up"
 	DecidedWait          DecisionKind = "task_waits"
+	DecidedRefuseJob     DecisionKind = "job_refused"
+	DecidedWrongRefusal  DecisionKind = "job_refused_though_servable"
+	DecidedLate          DecisionKind = "job_late"
 	DecidedSlow          DecisionKind = "worker_slow"
 	DecidedTakenBack     DecisionKind = "worker_taken_back"
 	DecidedCopy          DecisionKind = "copy_started"
