Leave admission control off; keep its margin from the time that jobs may wait

The learned margin was taken from the whole objective, of which a job's own path is about half, so that at its limit nearly all was refused while work waited. A test of the decision fails on the code before.

--- a/internal/control/lwadmission/admission.go
+++ b/internal/control/lwadmission/admission.go
@@ -45,14 +45,15 @@
 // Admit decides about a job that is submitted. A job that would end after its objective is
 // refused: accepted beyond what the pool can do in time, jobs delay each other until none
 // ends in time. Nothing is refused while the pool has room or is not measured. margin is
-// the part of the objective that is kept for the error of estimates.
+// the part of the time that the job may wait that is kept for the error of estimates; its
+// own path is not shortened, since no job could be accepted otherwise.
 func (p Pool) Admit(j Job, margin float64) Admission {
 	if p.Rate <= 0 {
 		return Admission{Finish: j.Path}
 	}
 	wait := seconds(p.Backlog / p.Rate)
 	a := Admission{Finish: wait + max(j.Path, seconds(j.Work/p.Rate))}
-	limit := time.Duration(float64(j.Objective)*(1-margin)) - j.Waited
+	limit := j.Objective - j.Waited - time.Duration(margin*float64(max(0, j.Objective-j.Path)))
 	if !p.Waiting || wait == 0 || a.Finish <= limit {
 		return a
 	}
--- a/internal/control/lwadmission/admission_test.go
+++ b/internal/control/lwadmission/admission_test.go
@@ -48,6 +48,9 @@
 		expectRefused(t, NewPool(rate, true, backlog(10)).Admit(largeJob(), 0), false)
 		expectRefused(t, NewPool(rate, true, backlog(10)).Admit(largeJob(), 0.3), true)
 	})
+	t.Run("but never one that is as long as the work itself", func(t *testing.T) {
+		expectRefused(t, NewPool(rate, true, backlog(5)).Admit(largeJob(), 0.5), false)
+	})
 }
 
 // A refusal must not be given while there is room, or by a leader that has measured nothing.
--- a/internal/control/lwdispatch/admission.go
+++ b/internal/control/lwdispatch/admission.go
@@ -16,7 +16,7 @@
 	poolInterval   = 100 * time.Millisecond // between two updates of the pools of filling work
 	rateWindow     = 10 * time.Second       // time constant of the measured rate: it spans swings of the load of serving tasks
 	minRateSamples = 2 * time.Second        // in which work must have waited before a rate counts as measured
-	maxMargin      = 0.5                    // part of the objectives that estimates may keep for their error
+	maxMargin      = 0.5                    // part of the time that jobs may wait that is kept for the error of estimates
 	errorWeight    = 0.1                    // weight of a job that has ended in the measured error
 	maxRefusals    = 256                    // kept to find those that would have been served
 )
