--- a/internal/control/lwdispatch/health.go
+++ b/internal/control/lwdispatch/health.go
@@ -39,7 +39,7 @@
 	return min(1, float64(c.now-w.health.takenBackAt)/float64(length))
 }
 
-// recentFlaps returns how often the worker was taken back of late.
+// recentFlaps returns how often the worker was taken back recently.
 func (c *Core) recentFlaps(h *health) int {
 	if h.timesTakenBack > 0 && c.now-h.takenBackAt < flapMemory {
 		return h.timesTakenBack
@@ -80,7 +80,7 @@
 }
 
 // suspect gives a worker no tasks for a pause, which doubles with each suspicion, and each
-// time that the worker was taken back of late, up to a limit.
+// time that the worker was taken back recently, up to a limit.
 func (c *Core) suspect(w *worker, reason string) {
 	h := &w.health
 	pause := min(c.cfg.SuspicionPause<<min(h.suspicions+c.recentFlaps(h), 4), maxSuspicionPause)
--- a/internal/control/lwdispatch/speed.go
+++ b/internal/control/lwdispatch/speed.go
@@ -258,7 +258,7 @@
 
 // withinSpeedShare reports whether a slow worker may take another task: it is given a part
 // of its capacity in proportion to its speed. It always takes one task if none of its runs
-// tells whether it is still slow. A worker that was taken back is filled by and by.
+// tells whether it is still slow. A worker that was taken back is filled gradually.
 func (c *Core) withinSpeedShare(s *step, w *worker) bool {
 	if !c.cfg.LoadControl {
 		return true
