Keep the report of a panic for the next process, and name the build that runs

The Go runtime now writes the report of a panic to the data folder too, and the next process logs its cause and innermost functions. The line "started" has the revision, or Go's build id.

--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwcrash"
 	"lavenderweir.example/lavenderweir/internal/base/lwsetting"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwcontrol"
@@ -63,6 +64,7 @@
 		opts.Lease = lwlease.DefaultConfig()
 	}
 	n := &Node{settings: s, log: log.With(zap.String("node", s.Name))}
+	n.reportCrash()
 	var err error
 	if n.endpoint, err = lwrpc.Listen(rpcAddress(s), s.ClusterKey()); err != nil {
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
@@ -75,10 +77,39 @@
 		n.Stop(context.Background())
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
 	}
-	n.log.Info("started")
+	n.log.Info("started", zap.String("build", buildID()))
 	return n, nil
 }
 
+// reportCrash logs how the process before this one ended if it crashed, and has the
+// runtime keep the report of a crash of this one. Only a process with a data folder can.
+func (n *Node) reportCrash() {
+	folder := dataFolder(n.settings)
+	if folder == "" {
+		return
+	}
+	r, err := lwcrash.Keep(folder)
+	if err != nil {
+		n.log.Warn("crash reports are not kept", zap.Error(err))
+		return
+	}
+	if r != nil {
+		n.log.Error("the process before this one crashed", zap.String("cause", r.Cause), zap.Strings("stack", r.Stack))
+	}
+}
+
+// dataFolder returns the data folder of the control replica, or "" without one.
+func dataFolder(s lwsetting.Settings) string {
+	switch {
+	case s.Hosted != nil && s.Hosted.Role == lwsetting.HostedControl:
+		return s.Hosted.DataFolder
+	case s.Hosted == nil && s.Replica != nil:
+		return s.Replica.Folder
+	default:
+		return ""
+	}
+}
+
 // rpcAddress returns the RPC address on which the process listens, or "" for
 // none: of the hosted roles only control listens.
 func rpcAddress(s lwsetting.Settings) string {
