--- a/internal/command/lwnode/build.go
+++ b/internal/command/lwnode/build.go
@@ -1,43 +1,24 @@
 package lwnode
 
-import (
-	"bytes"
-	"debug/elf"
-	"os"
-	"runtime/debug"
-)
+import "runtime/debug"
 
-// goNoteHeaderBytes is the size of the header and the name of the ELF note that holds
-// the build id of a Go program.
-const goNoteHeaderBytes = 16
+// revision is that of the sources, set by the linker where the build knows it.
+var revision string
 
-// buildID identifies the program that runs: the revision of its sources if the build
-// recorded it, or else Go's build id, which "go tool buildid FILE" prints. It is empty
-// if neither can be read.
-func buildID() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				return s.Value
-			}
-		}
-	}
-	path, err := os.Executable()
-	if err != nil {
-		return ""
+// buildRevision returns the revision of the sources of this program, or "" if the build
+// recorded none.
+func buildRevision() string {
+	if revision != "" {
+		return revision
 	}
-	f, err := elf.Open(path)
-	if err != nil {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
 		return ""
 	}
-	defer func() { _ = f.Close() }()
-	note := f.Section(".note.go.buildid")
-	if note == nil {
-		return ""
-	}
-	data, err := note.Data()
-	if err != nil || len(data) < goNoteHeaderBytes {
-		return ""
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
 	}
-	return string(bytes.TrimRight(data[goNoteHeaderBytes:], "\x00"))
+	return ""
 }
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -77,7 +77,7 @@
 		n.Stop(context.Background())
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
 	}
-	n.log.Info("started", zap.String("build", buildID()))
+	n.log.Info("started", zap.String("revision", buildRevision()))
 	return n, nil
 }
 
