Refuse a command whose log entry no replica could decode

A committed entry that cannot be decoded ends every replica, again after each restart. EncodeCommand did not check that: a task key of a negative index is written and not read. No leader proposes such a key, so callers never saw it.

--- a/internal/control/lwstate/arbitrary_test.go
+++ b/internal/control/lwstate/arbitrary_test.go
@@ -14,11 +14,33 @@
 
 // commandTypes holds a value of each type of command.
 var commandTypes = []lwstate.Command{
-	lwstate.ApplyTicket{}, lwstate.SubmitJob{}, lwstate.CancelJob{}, lwstate.RejectJob{}, lwstate.RegisterWorker{}, lwstate.DrainWorker{},
-	lwstate.SuspectWorker{}, lwstate.LoseWorker{}, lwstate.PlaceTasks{}, lwstate.ResizeTasks{}, lwstate.StopTasks{}, lwstate.ReportTasks{},
-	lwstate.AnnounceBackend{}, lwstate.WithdrawBackend{}, lwstate.BindClaim{}, lwstate.CloseClaim{}, lwstate.Sweep{},
-	lwstate.Configure{}, lwstate.AcceptQueueJob{}, lwstate.CancelQueueJob{}, lwstate.RecordRuns{}, lwstate.ChangeRoster{}, lwstate.StartWave{},
-	lwstate.BeginMaintenance{}, lwstate.RemoveQueueJobs{}, lwstate.RecordInterference{}, lwstate.SetEvacuation{},
+	lwstate.ApplyTicket{},
+	lwstate.SubmitJob{},
+	lwstate.CancelJob{},
+	lwstate.RejectJob{},
+	lwstate.RegisterWorker{},
+	lwstate.DrainWorker{},
+	lwstate.SuspectWorker{},
+	lwstate.LoseWorker{},
+	lwstate.PlaceTasks{},
+	lwstate.ResizeTasks{},
+	lwstate.StopTasks{},
+	lwstate.ReportTasks{},
+	lwstate.AnnounceBackend{},
+	lwstate.WithdrawBackend{},
+	lwstate.BindClaim{},
+	lwstate.CloseClaim{},
+	lwstate.Sweep{},
+	lwstate.Configure{},
+	lwstate.AcceptQueueJob{},
+	lwstate.CancelQueueJob{},
+	lwstate.RecordRuns{},
+	lwstate.ChangeRoster{},
+	lwstate.StartWave{},
+	lwstate.BeginMaintenance{},
+	lwstate.RemoveQueueJobs{},
+	lwstate.RecordInterference{},
+	lwstate.SetEvacuation{},
 }
 
 // The values are few, so that commands often name what others have made, and include
@@ -106,7 +128,7 @@
 				fill(t, c, "command")
 				d.applyDecoded(t, c.Interface().(lwstate.Command))
 			},
-			"time passes": func(t *rapid.T) { d.clock += 3_600_001 },
+			"time passes": func(*rapid.T) { d.clock += 3_600_001 },
 			"reload": func(t *rapid.T) {
 				if err := d.reload(); err != nil {
 					t.Fatal(err)
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -253,7 +253,8 @@
 }
 
 // EncodeCommand returns the log entry for c; at is the time of the leader's clock
-// when it proposed c.
+// when it proposed c. It fails if the entry cannot be decoded again: committed, such an
+// entry would end every replica.
 func EncodeCommand(c Command, at lwunit.Millis) ([]byte, error) {
 	body, err := json.Marshal(c)
 	if err != nil {
@@ -263,6 +264,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode command: %w", err)
 	}
+	if _, _, err := DecodeCommand(data); err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
 	return data, nil
 }
 
