Tell callers that a command which cannot be recorded had no effect

Such a command was answered as if no quorum had answered in time, though it is refused before it is proposed. The test got kind unknown before.

--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -60,11 +60,11 @@
 
 // commit proposes a command. An error of the proposal gets kind Unknown, since the
 // command may still take effect, unless it is a refusal with kind NotLeader,
-// Overloaded or TooLarge.
+// Overloaded, TooLarge or Invalid.
 func (n *Node) commit(ctx context.Context, r *replica, c lwstate.Command) (lwstate.Result, error) {
 	_, res, err := r.propose(ctx, c)
 	switch lwfault.KindOf(err) {
-	case lwfault.NotLeader, lwfault.Overloaded, lwfault.TooLarge:
+	case lwfault.NotLeader, lwfault.Overloaded, lwfault.TooLarge, lwfault.Invalid:
 		return res, err
 	}
 	if err != nil {
--- a/internal/control/lwcontrol/submit.go
+++ b/internal/control/lwcontrol/submit.go
@@ -41,7 +41,7 @@
 	}
 	data, err := lwstate.EncodeCommand(c, lwunit.Millis(time.Now().UnixMilli()))
 	if err != nil {
-		return 0, lwstate.Result{}, err
+		return 0, lwstate.Result{}, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "the command cannot be recorded", Cause: err}
 	}
 	if len(data) > maxCommandBytes {
 		return 0, lwstate.Result{}, lwfault.New(lwfault.TooLarge, "the command has %d bytes; the limit is %d", len(data), maxCommandBytes)
--- a/internal/control/lwcontrol/submit_test.go
+++ b/internal/control/lwcontrol/submit_test.go
@@ -49,6 +49,18 @@
 	is.True(len(w.Envelopes)*4/3 < 8<<20) // the frame limit of lwrpc
 }
 
+// A committed entry that cannot be decoded ends every replica. The command is refused
+// before it is proposed, and its caller is told that it has had no effect.
+func TestUndecodableCommandIsRefused(t *testing.T) {
+	is := is.New(t)
+	n := leadingNode(t, func(lwstate.Command) {})
+	undecodable := lwjob.Job{Tasks: map[lwjob.TaskKey]*lwjob.TaskRecord{{Index: -1}: nil}}
+	_, err := n.commit(t.Context(), n.replica, lwstate.AcceptQueueJob{Job: undecodable})
+	is.Equal(lwfault.KindOf(err), lwfault.Invalid)
+	_, err = n.commit(t.Context(), n.replica, lwstate.CancelQueueJob{Job: "j"})
+	is.NoErr(err) // the replica goes on
+}
+
 // Ends that gather while no quorum answers must be recorded in several commands, since one
 // command with all of them may be too large.
 func TestManyEndsAreRecordedInParts(t *testing.T) {
