--- a/internal/bench/lwrig/rig.go
+++ b/internal/bench/lwrig/rig.go
@@ -50,6 +50,8 @@
 	Options     lwnode.Options
 	Folder      string        // parent of the replicas' data folders
 	OneWayDelay time.Duration // between an entry and agents of other failure domains; 0 is none
+
+	SnapshotSize lwunit.Bytes // of the log from which replicas write a snapshot; 0 is the default
 }
 
 // System is a running system with stand-in workers and backend servers.
@@ -138,7 +140,7 @@
 	settings := s.baseSettings(fmt.Sprintf("control-%d", i), i)
 	settings.RPCAddress = s.controlAddresses[i]
 	settings.ControlAddresses = s.controlAddresses
-	settings.Replica = &lwsetting.Replica{Folder: filepath.Join(s.Shape.Folder, settings.Name)}
+	settings.Replica = &lwsetting.Replica{Folder: filepath.Join(s.Shape.Folder, settings.Name), SnapshotSize: s.Shape.SnapshotSize}
 	n, err := lwnode.Start(settings, s.Shape.Options, s.log)
 	if err != nil {
 		return err
