Count a crash under a start that no list has shown, if its agent was restarted

Its logs show the cause: the agent that had carried out the first start was killed before its next report and came back without memory. The leader inferred the crash from the new incarnation of the worker, but left out all starts that no list had shown, on the ground that the agent reports crashes; that process could not know of this one. The evidence went to the tasks beside it.

Such starts now count, at most as old as their order, which is weak evidence, so that a start that never reached the worker is not blamed. The test fails before.

--- a/internal/control/lwdispatch/crash.go
+++ b/internal/control/lwdispatch/crash.go
@@ -229,8 +229,8 @@
 
 // inferCrash handles the end of a worker at about the given time that no agent reports
 // as a crash: the agent is of an older version, or was started again meanwhile. Runs
-// that the worker has listed count, and those that were ordered by then if the agent
-// would not have reported them.
+// that the worker has listed count, and those that were ordered. When a start that no list
+// has shown was carried out is not known, so its run is at most as old as its order.
 func (c *Core) inferCrash(incarnation lwjob.WorkerIncarnation, at time.Duration, agentKnows bool) {
 	w := c.workers[incarnation]
 	if w == nil || w.info.Draining || c.crashes[incarnation] != nil {
@@ -238,11 +238,15 @@
 	}
 	crash := Crash{Incarnation: incarnation}
 	for _, r := range w.sortedRuns() {
-		age := at - r.orderedAt + inferredAgeError
-		if r.phase == runOrdered && (agentKnows || r.awaitsRecord || age < 0) {
+		if r.phase == runOrdered && r.awaitsRecord {
 			continue
 		}
-		crash.Runs = append(crash.Runs, HeldRun{Task: r.task.name, Run: r.id, Age: lwunit.Duration(max(age, inferredAgeError)), Adopted: r.adopted})
+		age := at - r.orderedAt + inferredAgeError
+		held := HeldRun{Task: r.task.name, Run: r.id, Age: lwunit.Duration(max(age, inferredAgeError)), Adopted: r.adopted}
+		if r.phase == runOrdered && (agentKnows || age < 0) {
+			held.Age, held.AtMost = lwunit.Duration(c.now-r.orderedAt), true
+		}
+		crash.Runs = append(crash.Runs, held)
 	}
 	c.handleCrash(crash)
 }
--- a/internal/control/lwdispatch/crash_test.go
+++ b/internal/control/lwdispatch/crash_test.go
@@ -386,6 +386,26 @@
 	}
 }
 
+// A worker crashes under a task that no list has shown yet, and its agent is started again
+// meanwhile, so that it reports no crash. Guards against further starts of a task under
+// which as many workers have crashed as are allowed: such a crash was not counted.
+func TestCrashUnderOrderedRunWithoutItsAgent(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 8))
+	f.submit("j", tasks(1, 1, time.Second))
+	f.step()
+	f.now += 500 * time.Millisecond
+	f.core.Advance(f.now, f.wallClock)
+	next := f.infos["w1"]
+	next.Incarnation = lwjob.WorkerIncarnation{Worker: "w1-2", StartedAt: next.Incarnation.StartedAt + 1}
+	f.core.Report(Report{Info: next, KnowsCrashes: true})
+	f.step()
+	crashes := f.table.Job("j").Task(lwjob.TaskKey{}).Crashes
+	if len(crashes) != 1 || !crashes[0].AtMost || crashes[0].Age.Std() < 500*time.Millisecond {
+		t.Errorf("crashes %+v are recorded, want one at an age of at most 500 ms", crashes)
+	}
+}
+
 // A run that a new agent process has adopted is old, however short a while it knows it.
 func TestAdoptedRunIsNoSuspect(t *testing.T) {
 	f := newFixture(t)
