Keep the time of a crash when the next incarnation answers in its place

In its logs every crash but the first three is recorded at an age of 1.028 s, which is how long the worker takes to restart, as an upper bound, though a poll had found the connection broken within 0.2 s. Such a crash hardly speaks against the task.

Between its start and its announcement, the next incarnation answered a poll that was meant for the crashed one with 421. The agent took that for an answer of the crashed one and forgot when it had ended. Now only an answer of the incarnation itself counts. The test fails before: 1.22 s instead of 0.02 s.

--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -61,9 +61,14 @@
 
 // noteAnswer keeps the time at which the worker's process may have ended: when a call
 // found the connection broken or refused, after the last answer. A call that times out
-// tells nothing, since the connection may be silent.
+// tells nothing, since the connection may be silent, and what answers in the name of
+// another incarnation is no answer of the one that has ended.
 func (r *Runner) noteAnswer(c Call, err error) {
-	_, refused := errors.AsType[*RefusedError](err)
+	refusal, refused := errors.AsType[*RefusedError](err)
+	if refused && refusal.OtherIncarnation {
+		r.noteEnd(c)
+		return
+	}
 	timeout, isNetError := errors.AsType[net.Error](err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -78,6 +83,16 @@
 	}
 }
 
+// noteEnd notes that the process of the incarnation that a call was for has ended, by now
+// if it is not known when.
+func (r *Runner) noteEnd(c Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.info.Incarnation == c.Incarnation && r.brokenAt == 0 {
+		r.brokenAt = r.clock.Now()
+	}
+}
+
 // heldAtCrash returns the runs that the worker held when its process ended, those that
 // began last first. It leaves out starts that were sent later. The caller holds mu.
 func (r *Runner) heldAtCrash() []lwdispatch.HeldRun {
--- a/internal/worker/lwrunner/crash_test.go
+++ b/internal/worker/lwrunner/crash_test.go
@@ -117,3 +117,37 @@
 		}
 	})
 }
+
+// A worker crashes and is back under another id, and answers a poll that is meant for the
+// crashed one before it announces itself. Guards against a task that is started again and
+// again: the runs that the crashed one held then seemed to be as old as its restart takes.
+func TestNextIncarnationDoesNotAnswerForCrashedOne(t *testing.T) {
+	for name, answer := range map[string]error{
+		"refuses":         &RefusedError{Reason: lwdispatch.RefusedUnhealthy, OtherIncarnation: true},
+		"does not answer": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+				setPollError := func(err error) {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					w.pollError = err
+				}
+				sendOrders(t.Context(), r, testToken, startOrder("a.0.0.0", 1))
+				time.Sleep(20 * time.Millisecond)
+				setPollError(errNoAnswer) // the connection is broken
+				time.Sleep(time.Second)
+				if answer != nil {
+					setPollError(answer)
+					time.Sleep(200 * time.Millisecond)
+				}
+				r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w2", StartedAt: 9}, Service: "s"}, 1)
+				time.Sleep(time.Second)
+				c := l.lastReport().Crashes
+				if len(c) != 1 || len(c[0].Runs) != 1 || c[0].Runs[0].AtMost || c[0].Runs[0].Age.Std() > 700*time.Millisecond {
+					t.Errorf("crashes %v are reported, want one of a run that was young when the connection broke", c)
+				}
+			})
+		})
+	}
+}
--- a/internal/worker/lwrunner/fake_test.go
+++ b/internal/worker/lwrunner/fake_test.go
@@ -32,6 +32,7 @@
 	noCapacity       map[string]bool // tasks that are refused with RefusedNoCapacity
 	unresponsive     bool
 	exited           bool  // its process has ended
+	pollError        error // with which polls fail at once, if set
 	lostLimitAnswers int   // CPU limits whose answer is lost
 	limits           []int // CPU limits that arrived, in percent
 }
@@ -77,15 +78,15 @@
 func (w *fakeWorker) apply(c Call, o lwdispatch.StartRun, until LeaseEnd) error {
 	switch {
 	case c.Token < w.token:
-		return &RefusedError{lwdispatch.RefusedFence}
+		return &RefusedError{Reason: lwdispatch.RefusedFence}
 	case slices.ContainsFunc(w.running, func(r lwdispatch.RunStatus) bool { return r.Task == o.Task && r.Run == o.Run }):
 		return nil
 	case o.Run <= w.highestEnded[o.Task]:
-		return &RefusedError{lwdispatch.RefusedSuperseded}
+		return &RefusedError{Reason: lwdispatch.RefusedSuperseded}
 	case lwunit.Millis(until) <= w.clock():
-		return &RefusedError{lwdispatch.RefusedLeaseExpired}
+		return &RefusedError{Reason: lwdispatch.RefusedLeaseExpired}
 	case w.noCapacity[string(o.Task)]:
-		return &RefusedError{lwdispatch.RefusedNoCapacity}
+		return &RefusedError{Reason: lwdispatch.RefusedNoCapacity}
 	}
 	w.token = c.Token
 	w.leaseEnd = max(w.leaseEnd, lwunit.Millis(until))
@@ -98,7 +99,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if c.Token < w.token {
-		return &RefusedError{lwdispatch.RefusedFence}
+		return &RefusedError{Reason: lwdispatch.RefusedFence}
 	}
 	w.highestEnded[o.Task] = max(w.highestEnded[o.Task], o.Run)
 	w.recordEnd(o.Task, o.Run, lwjob.EndStopped)
@@ -134,6 +135,10 @@
 		w.mu.Unlock()
 		return RunLists{}, &ConnRefusedError{errNoAnswer}
 	}
+	if err := w.pollError; err != nil {
+		w.mu.Unlock()
+		return RunLists{}, err
+	}
 	unresponsive := w.unresponsive
 	firstEnd := w.lastEnd
 	w.mu.Unlock()
@@ -157,7 +162,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if c.Token < w.token {
-		return RunLists{}, &RefusedError{lwdispatch.RefusedFence}
+		return RunLists{}, &RefusedError{Reason: lwdispatch.RefusedFence}
 	}
 	w.token = c.Token
 	w.leaseEnd = max(w.leaseEnd, lwunit.Millis(until))
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -76,7 +76,11 @@
 	call, cancel := context.WithTimeout(ctx, wait+workerCallTimeout)
 	lists, err := r.worker.Poll(call, c, until, cursor, wait)
 	cancel()
-	r.noteAnswer(c, err)
+	if err == nil && lists.ofOther(c.Incarnation) {
+		r.noteEnd(c)
+	} else {
+		r.noteAnswer(c, err)
+	}
 	pollsDone.Add(1)
 	if err != nil {
 		pollsFailed.Add(1)
@@ -121,7 +125,7 @@
 // sent.
 func (r *Runner) applyLists(c Call, lists RunLists, sentAt time.Duration) (newEnd bool) {
 	r.mu.Lock()
-	if c.Incarnation != r.info.Incarnation || (lists.StartedAt != 0 && lists.StartedAt != c.Incarnation.StartedAt) || lists.Clock < r.lists.Clock {
+	if c.Incarnation != r.info.Incarnation || lists.ofOther(c.Incarnation) || lists.Clock < r.lists.Clock {
 		r.mu.Unlock()
 		return false // from another incarnation, or older than the lists at hand
 	}
--- a/internal/worker/lwrunner/port.go
+++ b/internal/worker/lwrunner/port.go
@@ -34,6 +34,11 @@
 	Ends      []lwdispatch.NumberedEnd
 }
 
+// ofOther reports whether the lists are those of another incarnation of the worker.
+func (l RunLists) ofOther(i lwjob.WorkerIncarnation) bool {
+	return l.StartedAt != 0 && l.StartedAt != i.StartedAt
+}
+
 // Worker makes calls to the worker on the agent's machine. After an error the
 // call may have been carried out or may still be; only a RefusedError means
 // that it was not and will not be.
@@ -47,7 +52,12 @@
 }
 
 // RefusedError means that the worker did not carry out a call and never will.
-type RefusedError struct{ Reason lwdispatch.RefusalReason }
+type RefusedError struct {
+	Reason lwdispatch.RefusalReason
+	// OtherIncarnation is set if another incarnation of the worker answered at its
+	// address, so that the one that the call was for has ended.
+	OtherIncarnation bool
+}
 
 // Error implements the error interface.
 func (e *RefusedError) Error() string { return "the worker refused the call: " + string(e.Reason) }
