--- a/internal/base/lwcrash/crash_test.go
+++ b/internal/base/lwcrash/crash_test.go
@@ -1,6 +1,7 @@
 package lwcrash_test
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"testing"
@@ -47,3 +48,14 @@
 	is.NoErr(err)
 	is.Equal(r, nil) // the report is read once
 }
+
+func ExampleKeep() {
+	folder, err := os.MkdirTemp("", "lwcrash")
+	if err != nil {
+		return
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	before, err := lwcrash.Keep(folder)
+	fmt.Println(before == nil, err) // no process of this folder has crashed
+	// Output: true <nil>
+}
