Log what tells apart how two runs of a task can begin

worker_given_up now has lease_left and released; "worker is gone", "worker does not answer" and "worker answers again" have last_answer, lease_left and runs, or whether the worker had counted as ended. task_runs_overlap, counted as task_runs_overlapping_total, names both runs and why the first one was released. No decision changes. Tests of lwdispatch, lwcontrol, lwrunner and command pass.

--- a/internal/control/lwcontrol/decisions.go
+++ b/internal/control/lwcontrol/decisions.go
@@ -15,6 +15,7 @@
 	jobsRefusedByPlan = lwmetric.Counter("jobs_refused_by_plan_total")
 	wrongRefusals     = lwmetric.Counter("jobs_refused_though_servable_total")
 	jobsLate          = lwmetric.Counter("jobs_accepted_but_late_total")
+	runsOverlapping   = lwmetric.Counter("task_runs_overlapping_total")
 )
 
 // countDecision counts the decisions that have a metric of their own.
@@ -38,6 +39,8 @@
 		wrongRefusals.Add(1)
 	case lwdispatch.DecidedLate:
 		jobsLate.Add(1)
+	case lwdispatch.DecidedOverlap:
+		runsOverlapping.Add(1)
 	default:
 	}
 }
--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -283,6 +283,12 @@
 }
 
 func logDecision(log *lwlog.RateLimitedLogger, x lwdispatch.Decision) {
-	log.Info(string(x.Kind), zap.String("job", string(x.Job)), zap.String("task", string(x.Task)), zap.Uint64("run", uint64(x.Run)),
-		zap.String("worker", string(x.Worker)), zap.String("reason", x.Reason), zap.Duration("age", x.Age), zap.Duration("slack", x.Slack), zap.Int("percent", x.CPUPercent), zap.Float64("suspicion", x.Suspicion), zap.Int("crashes", x.Crashes))
+	fields := []zap.Field{
+		zap.String("job", string(x.Job)), zap.String("task", string(x.Task)), zap.Uint64("run", uint64(x.Run)),
+		zap.String("worker", string(x.Worker)), zap.String("reason", x.Reason), zap.Duration("age", x.Age), zap.Duration("slack", x.Slack), zap.Int("percent", x.CPUPercent), zap.Float64("suspicion", x.Suspicion), zap.Int("crashes", x.Crashes),
+	}
+	if x.Kind == lwdispatch.DecidedWorkerRemoved {
+		fields = append(fields, zap.Duration("lease_left", x.LeaseLeft), zap.Int("released", x.Released))
+	}
+	log.Info(string(x.Kind), fields...)
 }
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -59,6 +59,16 @@
 	notBefore         time.Duration           // not to be started before this time
 	suspectSearchAt   time.Duration           // no worker is searched for the suspect before this time
 	recordedPlacement lwjob.WorkerIncarnation // incarnation on which an earlier leader placed the task; zero if none
+	lastRelease       *release                // of the last run that was released without a listed end; nil if there is none
+}
+
+// release is why a run no longer counts against its worker although no end of it was
+// listed.
+type release struct {
+	run    lwjob.RunID
+	worker lwunit.WorkerID
+	reason string
+	at     time.Duration
 }
 
 // step is one step of one occurrence of a job.
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -85,7 +85,7 @@
 	if r == nil {
 		return
 	}
-	c.removeRun(r)
+	c.releaseRun(r, "refused: "+string(f.Reason))
 	c.logDecision(Decision{Kind: DecidedRefusal, Job: r.task.step.job.spec.ID, Task: f.Task, Run: f.Run, Worker: w.info.Incarnation.Worker, Reason: string(f.Reason)})
 	switch f.Reason {
 	case RefusedFence:
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -183,7 +183,7 @@
 	if w == nil {
 		return
 	}
-	c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: reason, Age: c.now - w.reportedAt})
+	c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: reason, Age: c.now - w.reportedAt, LeaseLeft: max(0, w.leaseEnd-c.now), Released: len(w.runs)})
 	delete(c.workers, incarnation)
 	c.lastTokens[incarnation] = w.token
 	delete(c.missing, incarnation)
@@ -194,7 +194,7 @@
 	c.effects.Enrol = slices.DeleteFunc(c.effects.Enrol, func(e lwjob.RosterEntry) bool { return e.Incarnation == incarnation })
 	c.effects.Dismiss = append(c.effects.Dismiss, incarnation)
 	for _, r := range w.sortedRuns() {
-		c.removeRun(r)
+		c.releaseRun(r, reason)
 		c.logDecision(Decision{Kind: DecidedLost, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: incarnation.Worker, Reason: reason})
 		if r.task.step.spec.Gang {
 			c.stopGang(r.task.step)
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -1,6 +1,7 @@
 package lwdispatch
 
 import (
+	"fmt"
 	"slices"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
@@ -107,6 +108,7 @@
 	if status.Checkpoint != "" && c.replacesCheckpoint(r) {
 		t.checkpoint = status.Checkpoint
 	}
+	c.noteOverlap(r)
 	c.addRun(r)
 	if t.step.job.stopped || t.done || c.tooManyRuns(t) {
 		c.stopRun(r, "its job or task has ended, or another run of the task exists")
@@ -129,8 +131,9 @@
 		if r.phase != runListed || listed[runKey{r.task.name, r.id}] {
 			continue
 		}
-		c.removeRun(r)
-		c.logDecision(Decision{Kind: DecidedLost, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: w.info.Incarnation.Worker, Reason: "the worker no longer lists it"})
+		const reason = "the worker no longer lists it"
+		c.releaseRun(r, reason)
+		c.logDecision(Decision{Kind: DecidedLost, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: w.info.Incarnation.Worker, Reason: reason})
 	}
 }
 
@@ -187,6 +190,29 @@
 	w.reserved = w.reserved.Sub(r.reservation())
 }
 
+// releaseRun stops counting a run against its worker although no end of it was listed.
+func (c *Core) releaseRun(r *run, reason string) {
+	c.removeRun(r)
+	r.task.lastRelease = &release{r.id, r.worker.info.Incarnation.Worker, reason, c.now}
+}
+
+// noteOverlap logs that a worker lists a run while another run of its task is in progress
+// or may be, though the step is not speculative.
+func (c *Core) noteOverlap(r *run) {
+	t := r.task
+	if t.step.spec.Speculative || len(t.runs) == 0 {
+		return
+	}
+	d := Decision{Kind: DecidedOverlap, Job: t.step.job.spec.ID, Task: t.name, Run: r.id, Worker: r.worker.info.Incarnation.Worker}
+	other := t.runs[0]
+	d.Reason = fmt.Sprintf("run %d on %s has been ordered", other.id, other.worker.info.Incarnation.Worker)
+	if last := t.lastRelease; last != nil {
+		d.Reason += fmt.Sprintf("; run %d on %s was released before: %s", last.run, last.worker, last.reason)
+		d.Age = c.now - last.at
+	}
+	c.logDecision(d)
+}
+
 // stopRun orders a run to stop. It counts against its worker until its end is
 // certain.
 func (c *Core) stopRun(r *run, reason string) {
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -225,6 +225,7 @@
 	DecidedCopy          DecisionKind = "copy_started"
 	DecidedCopyWon       DecisionKind = "copy_won"
 	DecidedRestart       DecisionKind = "run_restarted"
+	DecidedOverlap       DecisionKind = "task_runs_overlap"
 )
 
 // Decision is one line of the decision log.
@@ -240,6 +241,8 @@
 	CPUPercent int           // CPU share in percent of the declared processors, for DecidedCPUShare
 	Suspicion  float64       // probability that the task crashes each worker that starts it, if workers have crashed under it
 	Crashes    int           // of workers under the task
+	LeaseLeft  time.Duration // until all runs of a removed worker would have ended by its lease
+	Released   int           // runs that were released with a removed worker
 }
 
 // Effects are the actions that the caller must carry out.
--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -76,6 +76,7 @@
 	case r.info.Incarnation != c.Incarnation:
 	case err == nil || refused:
 		r.brokenAt, r.silent = 0, false
+		r.answeredAt = r.clock.Now()
 	case isNetError && timeout.Timeout():
 		r.silent = true
 	case r.brokenAt == 0:
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -110,17 +110,29 @@
 	if nowEnded {
 		r.noteCrash("nothing listens at its address")
 	}
+	contact := r.lastContact()
 	r.mu.Unlock()
 	if nowEnded {
-		r.log.Warn("worker is gone", zap.String("worker", string(c.Incarnation.Worker)), zap.Error(err))
+		r.log.Warn("worker is gone", append(contact, zap.Error(err))...)
 		r.requestReport(true)
 	}
 	if nowUnresponsive {
-		r.log.Warn("worker does not answer", zap.String("worker", string(c.Incarnation.Worker)), zap.Error(err))
+		r.log.Warn("worker does not answer", append(contact, zap.Error(err))...)
 		r.requestReport(true)
 	}
 }
 
+// lastContact returns the fields of a log line about a worker that cannot be reached: the
+// time since its last answer, what is left of its lease and how many runs it last listed.
+// The caller holds mu.
+func (r *Runner) lastContact() []zap.Field {
+	now := r.clock.Now()
+	return []zap.Field{
+		zap.String("worker", string(r.info.Incarnation.Worker)), zap.Duration("last_answer", now-r.answeredAt),
+		zap.Duration("lease_left", max(0, r.leaseDeadline-now)), zap.Int("runs", len(r.lists.Running)),
+	}
+}
+
 // applyLists applies the lists that a poll returned; sentAt is when the poll was
 // sent.
 func (r *Runner) applyLists(c Call, lists RunLists, sentAt time.Duration) (newEnd bool) {
@@ -129,7 +141,7 @@
 		r.mu.Unlock()
 		return false // from another incarnation, or older than the lists at hand
 	}
-	wasUnresponsive := r.failedPolls >= unresponsiveAfterPolls
+	wasUnresponsive, countedAsEnded := r.failedPolls >= unresponsiveAfterPolls, r.refusedConns >= processEndedAfterRefusals
 	r.failedPolls, r.refusedConns = 0, 0
 	for _, e := range lists.Ends {
 		key := runKey{e.End.Task, e.End.Run}
@@ -144,7 +156,7 @@
 	foundRefusal := r.findNeverBegun(sentAt)
 	r.mu.Unlock()
 	if wasUnresponsive {
-		r.log.Info("worker answers again", zap.String("worker", string(c.Incarnation.Worker)))
+		r.log.Info("worker answers again", zap.String("worker", string(c.Incarnation.Worker)), zap.Bool("counted_as_ended", countedAsEnded), zap.Int("runs", len(lists.Running)))
 	}
 	if newEnd || newToken || foundRefusal || wasUnresponsive {
 		r.requestReport(newToken || wasUnresponsive)
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -74,6 +74,7 @@
 	listsRequestedAt time.Duration            // when the call that returned lists was sent
 	clockReceivedAt  time.Duration            // when lists.Clock was received
 	failedPolls      int                      // failed polls in a row
+	answeredAt       time.Duration            // when the worker last answered a call; 0 before its first answer
 	silent           bool                     // a call has timed out since the worker last answered one
 	brokenAt         time.Duration            // when a call first found the connection broken or refused, since the worker last answered one; 0 if none has
 	held             map[runKey]heldRun       // runs that the worker may hold
@@ -110,7 +111,7 @@
 	r.lists, r.listsToken, r.listsRequestedAt, r.clockReceivedAt = RunLists{}, 0, 0, 0
 	r.knownEnds = make(map[runKey]bool)
 	r.held = make(map[runKey]heldRun)
-	r.brokenAt, r.silent = 0, false
+	r.brokenAt, r.answeredAt, r.silent = 0, 0, false
 	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.starting = make(map[runKey]bool)
