Show that a start may begin on the next incarnation with the same id

A call names a worker by its id only, and the next incarnation gets the token of the one before. A start that the agent repeats, or that is carried out late, begins there, while the leader has released the task and started it elsewhere. A new leader does not wait for the lists of such an incarnation either.

--- /dev/null
+++ b/internal/control/lwdispatch/once_test.go
@@ -0,0 +1,64 @@
+package lwdispatch
+
+import (
+	"testing"
+	"time"
+
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+)
+
+// A call names a worker by its id only. A start that was ordered from an incarnation may be
+// carried out by the next one with the same id, until that one has received a higher token
+// than the start has. The task must not be started elsewhere before lists of the next
+// incarnation, read under such a token, show whether it has begun.
+func TestOrderedStartMayBeginOnNextIncarnationWithSameID(t *testing.T) {
+	restarted := func(t *testing.T) (f *fixture, ordered StartRun) {
+		f = newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", tasks(1, 1, testEstimate))
+		list := f.takeStarts("w1")
+		expectStarts(t, list, "j.0.0.0/1")
+		f.join(workerInfo("w2", 4))
+		before, _ := f.core.TokenAndCursor(f.infos["w1"].Incarnation)
+		info := f.infos["w1"]
+		info.Incarnation.StartedAt++
+		f.infos["w1"] = info
+		f.core.Report(Report{Info: info, KnowsCrashes: true, Crashes: []Crash{{Incarnation: lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, Runs: []HeldRun{{Task: list[0].Task, Run: list[0].Run}}}}})
+		f.step()
+		if after, _ := f.core.TokenAndCursor(info.Incarnation); after <= before {
+			t.Errorf("the next incarnation has token %d, which starts with token %d pass", after, before)
+		}
+		expectStarts(t, f.takeStarts("w2"))
+		return f, list[0]
+	}
+	t.Run("and has", func(t *testing.T) {
+		f, ordered := restarted(t)
+		f.lists["w1"] = []RunStatus{{Task: ordered.Task, Run: ordered.Run}}
+		f.report("w1")
+		expectStarts(t, f.takeStarts("w2"))
+	})
+	t.Run("and has not", func(t *testing.T) {
+		f, _ := restarted(t)
+		f.report("w1")
+		if starts := append(f.takeStarts("w1"), f.takeStarts("w2")...); len(starts) != 1 {
+			t.Errorf("ordered %v once the lists show that the run has not begun, want one start", starts)
+		}
+	})
+	t.Run("under a new leader", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 4))
+		f.submit("j", tasks(1, 1, testEstimate))
+		expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+		f.join(workerInfo("w2", 4))
+		f.startTerm(testTerm + 1)
+		f.join(f.infos["w2"])
+		info := f.infos["w1"]
+		info.Incarnation.StartedAt++
+		f.infos["w1"] = info
+		f.core.Report(Report{Info: info})
+		f.step()
+		expectStarts(t, f.takeStarts("w2"))
+	})
+}
+
+const testEstimate = time.Second
