Show that a start is ordered after its run was released

AgentReconnected queues the starts that no report has confirmed, and the run loop sends them later, under the token that holds then. A report in between may release such a run: the start goes out all the same, and passes the fence.

--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -62,3 +62,37 @@
 }
 
 const testEstimate = time.Second
+
+// Orders are sent after the report that caused them, under the token of that moment. An order
+// that waits must not be sent once its run was released, since the task is started again.
+func TestReleasedRunIsNotOrdered(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		release func(f *fixture, s StartRun)
+	}{
+		{"by the end of its worker's process", func(f *fixture, _ StartRun) {
+			f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true})
+			f.core.Report(Report{Info: f.infos["w1"]}) // it answers again
+		}},
+		{"by a refusal", func(f *fixture, s StartRun) {
+			token, _ := f.core.TokenAndCursor(f.infos["w1"].Incarnation)
+			f.core.Report(Report{Info: f.infos["w1"], Token: token, Refused: []Refusal{{s.Task, s.Run, RefusedFence}}})
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.join(workerInfo("w1", 4))
+			f.submit("j", tasks(1, 1, testEstimate))
+			first := f.takeStarts("w1")
+			expectStarts(t, first, "j.0.0.0/1")
+			f.core.AgentReconnected(f.infos["w1"].Incarnation)
+			x.release(f, first[0])
+			f.step()
+			for _, s := range f.takeStarts("w1") {
+				if s.Run == first[0].Run {
+					t.Errorf("%s/%d is ordered again after it was released", s.Task, s.Run)
+				}
+			}
+		})
+	}
+}
