Take no lists for newer than others of the same millisecond

Cause: an agent orders the lists of its worker by the worker's clock, in milliseconds, and took lists of an equal clock for newer. A worker may answer a long poll and the poll after a stop in the same millisecond; if the earlier answer was handled last, a run that had begun in between was missing from the next full report, the leader took it for lost and started its task elsewhere (TWICE). The leader did the same with reports out of order.

An agent now takes lists of an equal clock only from a poll that was sent after the lists at hand had arrived. The leader handles the runs in lists only if they are newer than those it has handled.

--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -96,3 +96,16 @@
 		})
 	}
 }
+
+// Reports may arrive out of order. Lists of the same millisecond as the newest ones must not
+// make a run look lost: the task would be started elsewhere while the run is in progress.
+func TestReportOfSameMillisecondKeepsRun(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, testEstimate))
+	expectStarts(t, f.startAll("w1"), "j.0.0.0/1")
+	f.lists["w1"] = nil
+	f.clock-- // report raises it again
+	f.report("w1")
+	expectStarts(t, f.takeStarts("w1"))
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -61,12 +61,10 @@
 	if !m.Complete || m.Clock < w.listsClock {
 		return // incomplete, or older than lists that were handled
 	}
-	w.listsClock = m.Clock
-	w.hasUnknownRuns = false
-	for _, status := range m.Running {
-		c.handleListedRun(w, status)
+	if m.Clock > w.listsClock || !w.listsCurrent { // else they are handled, or may be older
+		w.listsClock = m.Clock
+		c.handleRunning(w, m.Running)
 	}
-	c.dropUnlistedRuns(w, m.Running)
 	if !w.listsCurrent {
 		w.listsCurrent = true
 		delete(c.missing, w.info.Incarnation)
@@ -78,6 +76,15 @@
 	c.controlInterference(w)
 }
 
+// handleRunning handles the runs in the newest lists of a worker.
+func (c *Core) handleRunning(w *worker, running []RunStatus) {
+	w.hasUnknownRuns = false
+	for _, status := range running {
+		c.handleListedRun(w, status)
+	}
+	c.dropUnlistedRuns(w, running)
+}
+
 // handleListedRun updates a listed run. A run that is not counted against the worker
 // is adopted, and then stopped if its job or task has ended or if another run of the
 // task exists and the step is not speculative, or two if it is. A run of an unknown task is only
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -137,9 +137,9 @@
 // sent.
 func (r *Runner) applyLists(c Call, lists RunLists, sentAt time.Duration) (newEnd bool) {
 	r.mu.Lock()
-	if c.Incarnation != r.info.Incarnation || lists.ofOther(c.Incarnation) || lists.Clock < r.lists.Clock {
+	if c.Incarnation != r.info.Incarnation || lists.ofOther(c.Incarnation) || r.mayBeOlder(lists, sentAt) {
 		r.mu.Unlock()
-		return false // from another incarnation, or older than the lists at hand
+		return false
 	}
 	wasUnresponsive, countedAsEnded := r.failedPolls >= unresponsiveAfterPolls, r.refusedConns >= processEndedAfterRefusals
 	r.failedPolls, r.refusedConns = 0, 0
@@ -164,6 +164,14 @@
 	return newEnd
 }
 
+// mayBeOlder reports whether the lists that a poll sent at sentAt has returned may be
+// older than the lists at hand. The worker's clock does not order two answers of the same
+// millisecond; those to a poll that was sent after the other answer had arrived are
+// newer. The caller holds mu.
+func (r *Runner) mayBeOlder(lists RunLists, sentAt time.Duration) bool {
+	return lists.Clock < r.lists.Clock || (lists.Clock == r.lists.Clock && sentAt < r.clockReceivedAt)
+}
+
 // findNeverBegun adds a refusal for each stopped run that never began: lists
 // requested after the stop was answered show neither the run nor its end. It
 // reports whether there was one. The caller holds mu.
