Withdraw orders of a run that is released before they are sent

Cause: the orders of a report are sent after it was handled, under the token that the worker has by then. A start that was repeated because an agent had reconnected could thus be sent after another report had released its run, with a token that the worker accepts: the run began while the task was started elsewhere (TWICE).

A run that no longer counts against its worker takes the starts that wait to be sent with it.

--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -189,6 +189,7 @@
 	}
 	w.invalidate()
 	delete(w.runs, key)
+	c.withdrawOrder(w, r)
 	r.task.step.job.runCount--
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	if r.task.step.spec.Filling {
@@ -197,6 +198,19 @@
 	w.reserved = w.reserved.Sub(r.reservation())
 }
 
+// withdrawOrder drops the starts of a run that wait to be sent: they would be sent under
+// the worker's newest token, and the task may be started elsewhere by then.
+func (c *Core) withdrawOrder(w *worker, r *run) {
+	for i := range c.effects.Orders {
+		if x := &c.effects.Orders[i]; x.Incarnation == w.info.Incarnation {
+			x.Orders = slices.DeleteFunc(x.Orders, func(o Order) bool {
+				s, isStart := o.(StartRun)
+				return isStart && s.Task == r.task.name && s.Run == r.id
+			})
+		}
+	}
+}
+
 // releaseRun stops counting a run against its worker although no end of it was listed.
 func (c *Core) releaseRun(r *run, reason string) {
 	c.removeRun(r)
