Read the lease of a start together with the token that it is sent under

Cause: the agent checked the token of a start first and read the lease later, under another lock. A reply in between that brought a higher token and a new lease let a start under the earlier token go out with the new lease.

The lease is now read under the same lock as the token, and only for the token and incarnation of the start. TestStartTakesNoLeaseOfLaterToken does not compile before; without the check it fails.

--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -153,3 +153,25 @@
 		}
 	})
 }
+
+// A leader that has given a worker up and hears of it again grants a lease under a higher
+// token, and may have started the tasks elsewhere. A start under the earlier token must not be
+// sent with the new lease: the worker accepts it until it has received the higher token.
+func TestStartTakesNoLeaseOfLaterToken(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
+		earlier := Call{testIncarnation, testToken}
+		if _, ok := r.leaseForStart(earlier); !ok {
+			t.Fatal("there is no lease under the current token")
+		}
+		l.mu.Lock()
+		l.token = testToken + 1
+		l.mu.Unlock()
+		time.Sleep(time.Second)
+		if until, ok := r.leaseForStart(earlier); ok {
+			t.Errorf("a start under the earlier token is sent with a lease until %d", until)
+		}
+		if _, ok := r.leaseForStart(Call{testIncarnation, testToken + 1}); !ok {
+			t.Error("there is no lease under the later token")
+		}
+	})
+}
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -93,7 +93,7 @@
 			r.handleRefusal(ctx, c, o, lwdispatch.RefusedNoCapacity, mayHaveStarted)
 			return
 		}
-		until, ok := r.leaseForStart()
+		until, ok := r.leaseForStart(c)
 		if !ok {
 			sleep(ctx, orderRetryPause)
 			continue
@@ -179,10 +179,14 @@
 }
 
 // leaseForStart returns the lease to send with a start. It returns false while
-// too little is left of it or the worker is unresponsive.
-func (r *Runner) leaseForStart() (LeaseEnd, bool) {
+// too little is left of it or the worker is unresponsive, and once the lease is that of a
+// later token or incarnation.
+func (r *Runner) leaseForStart(c Call) (LeaseEnd, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.info.Incarnation != c.Incarnation || r.token != c.Token {
+		return 0, false
+	}
 	if r.leaseDeadline-r.clock.Now() < minLeaseForStart || r.failedPolls >= unresponsiveAfterPolls {
 		return 0, false
 	}
