Stop a run that is no longer listed before its task is started again

Cause: the leader released a run at once when newer lists of its worker showed neither the run nor its end, and started the task elsewhere. Whether lists are newer rests on the clock that the worker states with them; a worker that states it after it has made the lists can give older lists a newer time.

Now the leader orders the run to stop. It is released once the stop has blocked it, by the refusal that the agent reports, or by its end. An agent also reports a stopped run whose end was recorded and forgotten, so that a run which the leader counts by mistake does not stay for ever.

The subtest "a task whose run is no longer listed is started again" demanded the start at once; it now demands the stop, and the start after the refusal. TestStopOfForgottenEndIsAnswered failed before.

--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -386,6 +386,11 @@
 		f.startAll("w1")
 		f.lists["w1"] = nil
 		f.report("w1")
+		if stops := ordered[StopRun](f, "w1"); len(stops) != 1 || stops[0].Task != "j.0.0.0" {
+			t.Errorf("stops of %v were ordered, want one of j.0.0.0", stops)
+		}
+		expectStarts(t, f.takeStarts("w1"))
+		f.refuse("w1", "j.0.0.0", 1, RefusedStopped)
 		expectStarts(t, f.takeStarts("w1"), "j.0.0.0/2")
 	})
 }
--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -143,6 +143,14 @@
 	f.step()
 }
 
+// refuse reports the refusal of a start.
+func (f *fixture) refuse(id lwunit.WorkerID, task lwunit.TaskID, run lwjob.RunID, reason RefusalReason) {
+	token, _ := f.core.TokenAndCursor(f.infos[id].Incarnation)
+	f.core.Advance(f.now, f.wallClock)
+	f.core.Report(Report{Info: f.infos[id], Token: token, Refused: []Refusal{{Task: task, Run: run, Reason: reason}}})
+	f.step()
+}
+
 func (f *fixture) cancel(id string) {
 	f.table.Cancel(lwunit.JobID(id), f.wallClock)
 	f.core.JobEnded(lwunit.JobID(id), "cancelled")
--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -107,5 +107,7 @@
 	f.lists["w1"] = nil
 	f.clock-- // report raises it again
 	f.report("w1")
-	expectStarts(t, f.takeStarts("w1"))
+	if orders := f.pendingOrders["w1"]; len(orders) > 0 {
+		t.Errorf("ordered %v, want none", orders)
+	}
 }
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -82,7 +82,7 @@
 	for _, status := range running {
 		c.handleListedRun(w, status)
 	}
-	c.dropUnlistedRuns(w, running)
+	c.stopUnlistedRuns(w, running)
 }
 
 // handleListedRun updates a listed run. A run that is not counted against the worker
@@ -127,28 +127,26 @@
 	c.logDecision(Decision{Kind: DecidedAdopt, Job: t.step.job.spec.ID, Task: status.Task, Run: status.Run, Worker: w.info.Incarnation.Worker, Reason: "listed by the worker"})
 }
 
-// dropUnlistedRuns releases runs that the worker listed before and now lists neither
-// as running nor as ended, and those of an earlier incarnation with the same id that have not
-// begun on this one: it has received its token, so they cannot begin any more.
-func (c *Core) dropUnlistedRuns(w *worker, running []RunStatus) {
+// stopUnlistedRuns stops runs that the worker listed before and now lists neither as running
+// nor as ended. They are released once the stop has blocked them, so that lists which arrive
+// out of order cost a run and do not let its task run twice. Runs of an earlier incarnation
+// with the same id that have not begun on this one are released: it has received its token, so
+// they cannot begin any more.
+func (c *Core) stopUnlistedRuns(w *worker, running []RunStatus) {
 	listed := make(map[runKey]bool, len(running))
 	for _, status := range running {
 		listed[runKey{status.Task, status.Run}] = true
 	}
 	for _, r := range w.sortedRuns() {
-		if listed[runKey{r.task.name, r.id}] {
-			continue
-		}
-		reason := "the worker no longer lists it"
 		switch {
+		case listed[runKey{r.task.name, r.id}]:
 		case r.phase == runListed:
+			c.stopRun(r, "the worker no longer lists it")
 		case r.fromEarlier:
-			reason = "it was ordered from an earlier incarnation and has not begun"
-		default:
-			continue
+			const reason = "it was ordered from an earlier incarnation and has not begun"
+			c.releaseRun(r, reason)
+			c.logDecision(Decision{Kind: DecidedLost, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: w.info.Incarnation.Worker, Reason: reason})
 		}
-		c.releaseRun(r, reason)
-		c.logDecision(Decision{Kind: DecidedLost, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: w.info.Incarnation.Worker, Reason: reason})
 	}
 }
 
--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -175,3 +175,23 @@
 		}
 	})
 }
+
+// A leader that has taken an earlier report for a later one counts a run that has ended and
+// whose end is recorded. It must learn that the run is over when it stops it: the task would
+// wait for ever.
+func TestStopOfForgottenEndIsAnswered(t *testing.T) {
+	const task = "j.0.0.0"
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		sendOrders(t.Context(), r, testToken, startOrder(task, 1))
+		time.Sleep(time.Second)
+		w.endRun(task, 1)
+		l.mu.Lock()
+		l.cursor = 1
+		l.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		expectRefusals(t, l, task)
+		sendOrders(t.Context(), r, testToken, lwdispatch.StopRun{Task: task, Run: 1})
+		time.Sleep(time.Second)
+		expectRefusals(t, l, task, lwdispatch.RefusedStopped)
+	})
+}
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -170,7 +170,7 @@
 	newToken := r.listsToken != c.Token
 	r.lists, r.listsToken, r.listsRequestedAt, r.clockReceivedAt = lists, c.Token, sentAt, r.clock.Now()
 	r.updateHeld()
-	foundRefusal := r.findNeverBegun(sentAt)
+	foundRefusal := r.findBlocked(sentAt)
 	r.mu.Unlock()
 	if wasUnresponsive {
 		r.log.Info("worker answers again", zap.String("worker", string(c.Incarnation.Worker)), zap.Bool("was_gone", wasGone), zap.Int("runs", len(lists.Running)))
@@ -189,35 +189,39 @@
 	return lists.Clock < r.lists.Clock || (lists.Clock == r.lists.Clock && sentAt < r.clockReceivedAt)
 }
 
-// findNeverBegun adds a refusal for each stopped run that never began: lists
-// requested after the stop was answered show neither the run nor its end. It
-// reports whether there was one. The caller holds mu.
-func (r *Runner) findNeverBegun(sentAt time.Duration) bool {
+// findBlocked adds a refusal for each stopped run that is not in progress and never will
+// be: lists requested after the stop was answered show neither the run nor its end. The end
+// may have been recorded and forgotten, if the leader has taken an earlier report for a later
+// one. It reports whether there was one. The caller holds mu.
+func (r *Runner) findBlocked(sentAt time.Duration) bool {
 	if len(r.stopAnsweredAt) == 0 {
 		return false
 	}
-	running := make(map[runKey]bool, len(r.lists.Running))
+	running, ended := make(map[runKey]bool, len(r.lists.Running)), make(map[runKey]bool, len(r.lists.Ends))
 	for _, s := range r.lists.Running {
 		running[runKey{s.Task, s.Run}] = true
 	}
+	for _, e := range r.lists.Ends {
+		ended[runKey{e.End.Task, e.End.Run}] = true
+	}
 	found := false
 	for key, answeredAt := range r.stopAnsweredAt {
-		switch {
-		case sentAt < answeredAt || running[key]:
-		case r.knownEnds[key]:
-			delete(r.stopAnsweredAt, key)
+		if sentAt < answeredAt || running[key] {
+			continue
+		}
+		delete(r.stopAnsweredAt, key)
+		if ended[key] {
 			delete(r.refusalReasons, key)
-		default:
-			delete(r.stopAnsweredAt, key)
-			r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: r.reasonOf(key)})
-			found = true
+			continue
 		}
+		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: r.reasonOf(key)})
+		found = true
 	}
 	return found
 }
 
-// reasonOf returns, and forgets, why a run that was stopped has never begun. The caller
-// holds mu.
+// reasonOf returns, and forgets, why a run was stopped: the reason for which its start was
+// refused, or RefusedStopped. The caller holds mu.
 func (r *Runner) reasonOf(key runKey) lwdispatch.RefusalReason {
 	reason, ok := r.refusalReasons[key]
 	if !ok {
