Report a missing attempt as stopped only after its lease

An agent reported an attempt that its platform did not list as stopped, at once, if it had been started or control had asked for its stop. But a list without the attempt shows neither that its lease has ended nor that it was stopped:

- A platform that was started again beside its tasks and has not found them yet lists nothing, as does the platform of another VM that took over the name of the worker.
- A start without an answer may be carried out after the next list.
If control asked for a stop in between, the attempt counted as stopped before it began.
- An agent that is started again does not know what the one before it has sent.

In each case the task ran twice until the first lease ended, up to 10 s, and without end for a platform that kept listing nothing, since the agent went on renewing what was assigned.

Of the attempts that an agent finds assigned when it registers it assumes that the one before got a lease just then. It renews only what the platform lists as running, so that the lease of a missing attempt runs out. The end of a listed attempt, and a stop of one that nobody has sent a start for, are reported at once as before.

The report says for how long the attempt has been missing (gone_for), which older leaders pass over, so that the age at which an attempt crashed its platform does not grow by the wait.

--- a/internal/control/lwcontrol/leader.go
+++ b/internal/control/lwcontrol/leader.go
@@ -158,7 +158,8 @@
 func (l *leader) weighLostAttempts(r *replica, m lwlink.Sync) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	loss := lwplacement.Loss{Worker: m.Worker, At: wallClock()}
+	loss := lwplacement.Loss{Worker: m.Worker}
+	goneFor := time.Duration(0)
 	reports := make(map[lwunit.TaskID]*lwstate.TaskReport)
 	var lost []lwstate.LostAttempt
 	r.read(func(s *lwstate.State) {
@@ -168,8 +169,10 @@
 			if t, ok := s.Task(x.Task); ok && x.Gone && t.Token == x.Token && t.Phase.HoldsResources() && t.Stop == "" {
 				loss.Attempts = append(loss.Attempts, t)
 				reports[t.ID] = x
+				goneFor = max(goneFor, x.GoneFor.Std())
 			}
 		}
+		loss.At = wallClock().Add(-goneFor)
 		if len(loss.Attempts) > 0 {
 			lost = l.core.WeighLoss(s, loss)
 		}
--- a/internal/control/lwstate/command.go
+++ b/internal/control/lwstate/command.go
@@ -125,8 +125,9 @@
 	Event      TaskEvent           `json:"event"`
 	Checkpoint string              `json:"checkpoint,omitempty"`
 	Reason     string              `json:"reason,omitempty"`
-	Gone       bool                `json:"gone,omitempty"` // the platform no longer has an attempt that was started and not told to stop
-	Lost       *LostAttempt        `json:"lost,omitempty"` // what that says of the task; set by the leader
+	Gone       bool                `json:"gone,omitempty"`     // the platform no longer has an attempt that was started and not told to stop
+	GoneFor    lwunit.Duration     `json:"gone_for,omitempty"` // since the platform no longer lists it
+	Lost       *LostAttempt        `json:"lost,omitempty"`     // what that says of the task; set by the leader
 }
 
 // ReportTasks records reports of agents.
--- a/internal/worker/lwagent/agent.go
+++ b/internal/worker/lwagent/agent.go
@@ -17,6 +17,7 @@
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlease"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwticket"
@@ -41,6 +42,11 @@
 	minLeaseLeft         = 500 * time.Millisecond // with less left of the granted lease, the agent neither renews leases nor acts on control's reply
 )
 
+// leaseMargin is how long after the end of its lease on this VM's clock an attempt has
+// certainly ended at the platform: the platform's clock may be slower, and a stop
+// takes time.
+var leaseMargin = lwlease.DefaultConfig().ExpiryDelay() - lwlease.DefaultConfig().Lease
+
 var (
 	agentSyncs      = lwmetric.Counter("agent_syncs_total")
 	agentSyncErrors = lwmetric.Counter("agent_sync_errors_total")
@@ -83,6 +89,9 @@
 	assignedRevision lwunit.Revision                          // worker revision of assigned; 0 asks for the whole list
 	reported         map[lwplatform.Attempt]lwstate.TaskEvent // last event that control has received
 	started          map[lwplatform.Attempt]bool              // started by this agent
+	mayRunUntil      map[lwplatform.Attempt]time.Duration     // on clock, when an attempt has certainly ended at the platform even if no list shows it
+	missingSince     map[lwplatform.Attempt]time.Duration     // on clock, first list without an assigned attempt since one that had it
+	inherits         bool                                     // the next assignments may have been started by another agent of the worker
 	cpuPercent       map[lwplatform.Attempt]int               // limits that this agent has ordered
 
 	platformClock       lwplatform.Clock // as told with the last list; 0 if the platform tells none
@@ -99,6 +108,7 @@
 		cfg: cfg, log: log, client: client, runs: lwrun.NewTable(), syncDue: make(chan struct{}, 1), cancel: cancel, clock: lwclock.New(),
 		policy: make(map[lwunit.ServiceName]lwticket.ServiceSpec), reported: make(map[lwplatform.Attempt]lwstate.TaskEvent),
 		started: make(map[lwplatform.Attempt]bool), cpuPercent: make(map[lwplatform.Attempt]int),
+		mayRunUntil: make(map[lwplatform.Attempt]time.Duration), missingSince: make(map[lwplatform.Attempt]time.Duration), inherits: true,
 	}
 	a.backends = newBackendTable(a)
 	server, err := lwhttp.Listen(lwhttp.Config{
--- a/internal/worker/lwagent/lease_test.go
+++ b/internal/worker/lwagent/lease_test.go
@@ -41,13 +41,20 @@
 
 const grantedLease = 10 * time.Second
 
+func newTestAgent(p lwplatform.Platform) *Agent {
+	return &Agent{
+		cfg: Config{Platform: p}, log: zap.NewNop(), clock: lwclock.New(), started: make(map[lwplatform.Attempt]bool),
+		mayRunUntil: make(map[lwplatform.Attempt]time.Duration), missingSince: make(map[lwplatform.Attempt]time.Duration),
+	}
+}
+
 // withLatePlatform runs f with an agent that has listed the attempts of its platform
 // and been granted a lease until end, and with the assignment of one long task.
 func withLatePlatform(t *testing.T, f func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		p := &latePlatform{Worker: lwstandin.NewWorker()}
-		a := &Agent{cfg: Config{Platform: p}, log: zap.NewNop(), clock: lwclock.New(), started: make(map[lwplatform.Attempt]bool)}
+		a := newTestAgent(p)
 		time.Sleep(time.Minute) // the clocks do not begin at zero
 		if _, err := a.list(t.Context()); err != nil {
 			t.Fatal(err)
@@ -66,6 +73,16 @@
 	a.assigned = []lwlink.Assignment{task}
 }
 
+// listed returns the attempts that the platform lists.
+func listed(t *testing.T, a *Agent) []lwplatform.AttemptStatus {
+	t.Helper()
+	list, err := a.list(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
 // expectEndedBy checks that nothing runs at a time on the agent's clock.
 func expectEndedBy(t *testing.T, a *Agent, p *latePlatform, end time.Duration) {
 	t.Helper()
@@ -91,7 +108,7 @@
 		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
 			order(t, a, task, end)
 			p.carryOut()
-			a.renewLeases(t.Context(), end)
+			a.renewLeases(t.Context(), listed(t, a), end)
 			time.Sleep(grantedLease / 2)
 			p.carryOut()
 			expectEndedBy(t, a, p, end)
@@ -101,10 +118,10 @@
 		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
 			order(t, a, task, end)
 			p.carryOut()
-			a.renewLeases(t.Context(), end)
+			a.renewLeases(t.Context(), listed(t, a), end)
 			late := p.delayed
 			p.delayed = nil
-			a.renewLeases(t.Context(), end+grantedLease)
+			a.renewLeases(t.Context(), listed(t, a), end+grantedLease)
 			p.delayed = append(p.delayed, late...)
 			p.carryOut()
 			time.Sleep(end - a.clock.Now() + time.Second)
--- a/internal/worker/lwagent/reconcile.go
+++ b/internal/worker/lwagent/reconcile.go
@@ -87,8 +87,10 @@
 
 // dueReports returns a report for each assigned attempt whose state control has
 // not received. An attempt that is not on the platform is reported as stopped if
-// it was started before or control asked for its stop.
-func dueReports(assigned []lwlink.Assignment, actual []lwplatform.AttemptStatus, reported map[lwplatform.Attempt]lwstate.TaskEvent, started map[lwplatform.Attempt]bool) []lwstate.TaskReport {
+// it was started before or control asked for its stop, but not while it may run:
+// control starts the task elsewhere at once. The platform may have lost its list, and
+// a start without an answer may still be carried out.
+func dueReports(assigned []lwlink.Assignment, actual []lwplatform.AttemptStatus, reported map[lwplatform.Attempt]lwstate.TaskEvent, started map[lwplatform.Attempt]bool, mayRun func(lwplatform.Attempt) bool) []lwstate.TaskReport {
 	have := make(map[lwplatform.Attempt]lwplatform.AttemptStatus, len(actual))
 	for _, t := range actual {
 		have[t.Attempt] = t
@@ -101,6 +103,8 @@
 		switch {
 		case present:
 			r.Event, r.Checkpoint, r.Reason = eventOf(t.State), t.Checkpoint, t.Reason
+		case mayRun(attempt):
+			continue
 		case a.Stop != "" || a.Running || started[attempt]:
 			r.Event, r.Reason, r.Gone = lwstate.EventStopped, "the platform does not have it", a.Stop == ""
 		default:
--- a/internal/worker/lwagent/reconcile_test.go
+++ b/internal/worker/lwagent/reconcile_test.go
@@ -75,17 +75,20 @@
 		before  lwstate.TaskEvent // last reported
 		started bool
 		event   lwstate.TaskEvent
+		mayRun  bool
 	}{
-		{"a running attempt is reported once", assigned(2, "", false), []lwplatform.AttemptStatus{actual(2, lwplatform.StateRunning)}, lwstate.EventRunning, true, ""},
-		{"an end is reported", assigned(2, "", false), []lwplatform.AttemptStatus{actual(2, lwplatform.StateSucceeded)}, lwstate.EventRunning, true, lwstate.EventSucceeded},
-		{"a running attempt that is not on the platform is reported as stopped", assigned(2, "", true), nil, "", false, lwstate.EventStopped},
-		{"an attempt that was never started is not reported", assigned(2, "", false), nil, "", false, ""},
-		{"an attempt with a stop request that is not on the platform is reported as stopped", assigned(2, lwstate.StopCancel, false), nil, "", false, lwstate.EventStopped},
-		{"the state of an older attempt is not reported", assigned(2, "", false), []lwplatform.AttemptStatus{actual(1, lwplatform.StateFailed)}, "", false, ""},
+		{"a running attempt is reported once", assigned(2, "", false), []lwplatform.AttemptStatus{actual(2, lwplatform.StateRunning)}, lwstate.EventRunning, true, "", false},
+		{"an end is reported", assigned(2, "", false), []lwplatform.AttemptStatus{actual(2, lwplatform.StateSucceeded)}, lwstate.EventRunning, true, lwstate.EventSucceeded, false},
+		{"a running attempt that is not on the platform is reported as stopped", assigned(2, "", true), nil, "", false, lwstate.EventStopped, false},
+		{"an attempt that was never started is not reported", assigned(2, "", false), nil, "", false, "", false},
+		{"an attempt with a stop request that is not on the platform is reported as stopped", assigned(2, lwstate.StopCancel, false), nil, "", false, lwstate.EventStopped, false},
+		{"the state of an older attempt is not reported", assigned(2, "", false), []lwplatform.AttemptStatus{actual(1, lwplatform.StateFailed)}, "", false, "", false},
+		{"an attempt that is not on the platform is not reported while it may run", assigned(2, lwstate.StopEvict, true), nil, "", true, "", true},
+		{"the end of an attempt is reported although its lease lasts", assigned(2, "", true), []lwplatform.AttemptStatus{actual(2, lwplatform.StateStopped)}, "", true, lwstate.EventStopped, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			list := dueReports([]lwlink.Assignment{c.want}, c.have, map[lwplatform.Attempt]lwstate.TaskEvent{attempt: c.before}, map[lwplatform.Attempt]bool{attempt: c.started})
+			list := dueReports([]lwlink.Assignment{c.want}, c.have, map[lwplatform.Attempt]lwstate.TaskEvent{attempt: c.before}, map[lwplatform.Attempt]bool{attempt: c.started}, func(lwplatform.Attempt) bool { return c.mayRun })
 			got := lwstate.TaskEvent("")
 			if len(list) > 0 {
 				got = list[0].Event
--- a/internal/worker/lwagent/sync.go
+++ b/internal/worker/lwagent/sync.go
@@ -66,7 +66,7 @@
 // reported.
 func (a *Agent) hasReports(ctx context.Context) bool {
 	actual, err := a.list(ctx)
-	return err == nil && len(dueReports(a.assigned, actual, a.reported, a.started)) > 0
+	return err == nil && len(a.dueReports(actual)) > 0
 }
 
 // syncOnce makes one exchange with the leader. It returns true if another one
@@ -80,7 +80,7 @@
 		return false
 	}
 	m := lwlink.Sync{Worker: a.cfg.Worker.ID, Incarnation: a.cfg.Incarnation, KnownRevision: a.assignedRevision, Signals: a.backends.takeSignals()}
-	m.Reports = dueReports(a.assigned, actual, a.reported, a.started)
+	m.Reports = a.dueReports(actual)
 	m.Usage = a.dueUsage(ctx)
 	sentAt := a.clock.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -92,23 +92,64 @@
 		return false
 	}
 	if res.Register {
+		a.inherits = true
 		return a.register(ctx)
 	}
 	for _, r := range m.Reports {
 		a.reported[lwplatform.Attempt{Task: r.Task, Token: r.Token}] = r.Event
 	}
-	if res.Changed {
-		a.assigned, a.assignedRevision = res.Assignments, res.Revision
-		a.pruneAttempts()
-	}
+	a.takeAssignments(res)
 	leaseEnd := sentAt + res.Lease.Std()
 	if leaseEnd-a.clock.Now() <= minLeaseLeft {
 		return false
 	}
-	a.renewLeases(ctx, leaseEnd)
+	a.renewLeases(ctx, actual, leaseEnd)
 	return a.applyReply(ctx, actual, leaseEnd, res)
 }
 
+// takeAssignments replaces the assignments by those in control's reply.
+func (a *Agent) takeAssignments(res lwlink.SyncReply) {
+	if res.Changed {
+		a.assigned, a.assignedRevision = res.Assignments, res.Revision
+		a.pruneAttempts()
+	}
+	if !a.inherits {
+		return
+	}
+	// Control gave another agent of the worker no lease after this one registered.
+	a.inherits = false
+	for _, t := range a.assigned {
+		a.expectRunning(lwplatform.Attempt{Task: t.Task, Token: t.Token}, a.clock.Now()+res.Lease.Std())
+	}
+}
+
+// expectRunning notes that an attempt may run until the end of a lease, whether or not
+// the call that carries the lease gets an answer.
+func (a *Agent) expectRunning(attempt lwplatform.Attempt, leaseEnd time.Duration) {
+	a.mayRunUntil[attempt] = max(a.mayRunUntil[attempt], leaseEnd+leaseMargin)
+}
+
+// dueReports returns the reports that follow from a list of the platform's attempts.
+func (a *Agent) dueReports(actual []lwplatform.AttemptStatus) []lwstate.TaskReport {
+	now := a.clock.Now()
+	for _, t := range a.assigned {
+		attempt := lwplatform.Attempt{Task: t.Task, Token: t.Token}
+		if _, known := a.missingSince[attempt]; !known {
+			a.missingSince[attempt] = now
+		}
+	}
+	for _, t := range actual {
+		delete(a.missingSince, t.Attempt)
+	}
+	list := dueReports(a.assigned, actual, a.reported, a.started, func(attempt lwplatform.Attempt) bool { return now < a.mayRunUntil[attempt] })
+	for i, r := range list {
+		if r.Gone {
+			list[i].GoneFor = lwunit.Duration(now - a.missingSince[lwplatform.Attempt{Task: r.Task, Token: r.Token}])
+		}
+	}
+	return list
+}
+
 func (a *Agent) list(ctx context.Context) ([]lwplatform.AttemptStatus, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -182,6 +223,16 @@
 			delete(a.started, attempt)
 		}
 	}
+	for attempt := range a.mayRunUntil {
+		if !keep[attempt] {
+			delete(a.mayRunUntil, attempt)
+		}
+	}
+	for attempt := range a.missingSince {
+		if !keep[attempt] {
+			delete(a.missingSince, attempt)
+		}
+	}
 	for attempt := range a.cpuPercent {
 		if !keep[attempt] {
 			delete(a.cpuPercent, attempt)
@@ -189,13 +240,21 @@
 	}
 }
 
-// renewLeases extends the leases of the assigned attempts at the platform to a time
-// on the agent's clock. A lease counts from when the sync was sent, so it ends on the
-// worker no later than control assumes.
-func (a *Agent) renewLeases(ctx context.Context, end time.Duration) {
+// renewLeases extends the leases of the assigned attempts that run on the platform to
+// a time on the agent's clock. A lease counts from when the sync was sent, so it ends
+// on the worker no later than control assumes. The lease of an attempt that is not
+// listed runs out, so that it can be reported as ended.
+func (a *Agent) renewLeases(ctx context.Context, actual []lwplatform.AttemptStatus, end time.Duration) {
+	running := make(map[lwplatform.Attempt]bool, len(actual))
+	for _, t := range actual {
+		running[t.Attempt] = t.State == lwplatform.StateRunning
+	}
 	attempts := make([]lwplatform.Attempt, 0, len(a.assigned))
 	for _, t := range a.assigned {
-		attempts = append(attempts, lwplatform.Attempt{Task: t.Task, Token: t.Token})
+		if attempt := (lwplatform.Attempt{Task: t.Task, Token: t.Token}); running[attempt] {
+			a.expectRunning(attempt, end)
+			attempts = append(attempts, attempt)
+		}
 	}
 	if len(attempts) == 0 {
 		return
@@ -283,6 +342,7 @@
 		return false, nil
 	}
 	attempt := lwplatform.Attempt{Task: act.assignment.Task, Token: act.assignment.Token}
+	a.expectRunning(attempt, leaseEnd)
 	err := a.cfg.Platform.Start(ctx, lwplatform.StartRequest{
 		Attempt: attempt, Lease: a.leaseUntil(leaseEnd), Program: act.assignment.Program, Reserve: act.assignment.Reserve,
 		Checkpoint: act.assignment.Checkpoint,
