Start no attempt beside another of its task on the platform

reconcile kept one listed attempt of each task, the last in the list. A platform may list several: ended attempts stay listed until they are forgotten. If an ended attempt came after one that runs, or after a newer one, the agent ordered the start of the assigned attempt beside it and left it to the platform to refuse that; the published interface has platforms refuse only lower tokens.

reconcile now asks whether any listed attempt of the task runs or is as new as the assigned one.

TestReconcile, on the former code: "[stopTask forgetTask startTask]" for an attempt that runs, "[forgetTask forgetTask startTask]" for a newer one. Both without the start now.

--- a/internal/worker/lwagent/reconcile.go
+++ b/internal/worker/lwagent/reconcile.go
@@ -42,20 +42,21 @@
 	for _, a := range assigned {
 		want[a.Task] = a
 	}
-	have := make(map[lwunit.TaskID]lwplatform.AttemptStatus, len(actual))
+	newest := make(map[lwunit.TaskID]lwunit.FencingToken, len(actual)) // on the platform, which may list several attempts of a task
+	running := make(map[lwunit.TaskID]bool, len(actual))
 	var acts []action
 	var used lwunit.Resources
 	for _, t := range actual {
-		have[t.Task] = t
+		newest[t.Task] = max(newest[t.Task], t.Token)
 		if t.State == lwplatform.StateRunning {
+			running[t.Task] = true
 			used = used.Add(t.Reserve)
 		}
 		acts = append(acts, attemptActions(t, want)...)
 	}
 	for _, a := range assigned {
-		t, present := have[a.Task]
 		startable := a.Stop == "" && !a.Running && !started[lwplatform.Attempt{Task: a.Task, Token: a.Token}] &&
-			(!present || (t.Token < a.Token && t.State != lwplatform.StateRunning))
+			newest[a.Task] < a.Token && !running[a.Task]
 		// Control may count a stop as done that is still in progress here, so
 		// the agent checks the free capacity again.
 		if startable && a.Reserve.Fits(capacity.Sub(used)) {
--- a/internal/worker/lwagent/reconcile_test.go
+++ b/internal/worker/lwagent/reconcile_test.go
@@ -39,6 +39,7 @@
 		{"a running attempt is adopted", list{assigned(2, "", false)}, found{actual(2, lwplatform.StateRunning)}, false, "[]"},
 		{"an old attempt is stopped before the new one starts", list{assigned(2, "", false)}, found{actual(1, lwplatform.StateRunning)}, false, "[stopTask]"},
 		{"an old attempt that ended is forgotten and the new one starts", list{assigned(2, "", false)}, found{actual(1, lwplatform.StateStopped)}, false, "[forgetTask startTask]"},
+		{"an old attempt does not start beside a newer one", list{assigned(2, "", false)}, found{actual(3, lwplatform.StateStopped), actual(1, lwplatform.StateStopped)}, false, "[forgetTask forgetTask]"},
 		{"a running attempt that is not assigned is stopped", nil, found{actual(2, lwplatform.StateRunning)}, false, "[stopTask]"},
 		{"an ended attempt that is not assigned is forgotten", nil, found{actual(2, lwplatform.StateSucceeded)}, false, "[forgetTask]"},
 		{"an eviction checkpoints the attempt", list{assigned(2, lwstate.StopEvict, true)}, found{actual(2, lwplatform.StateRunning)}, false, "[evictTask]"},
@@ -51,6 +52,11 @@
 			is.New(t).Equal(actionNames(acts), c.actions)
 		})
 	}
+	t.Run("nothing starts beside an old attempt that runs, though an older one that has ended is listed last", func(t *testing.T) {
+		two := oneCore.Add(oneCore)
+		acts := reconcile(two, list{assigned(3, "", false)}, found{actual(2, lwplatform.StateRunning), actual(1, lwplatform.StateStopped)}, nil)
+		is.New(t).Equal(actionNames(acts), "[stopTask forgetTask]")
+	})
 	t.Run("nothing starts without free capacity; stops in progress count as used", func(t *testing.T) {
 		other := lwlink.Assignment{Task: "u", Token: 3, Reserve: oneCore}
 		acts := reconcile(oneCore, list{assigned(2, lwstate.StopEvict, true), other}, found{actual(2, lwplatform.StateRunning)}, nil)
