Let a late copy of a start not run a forgotten attempt again

The interface of platforms says that a start is idempotent for the same token. The stand-in knew that only while it listed the attempt. A second copy of a start, sent because the first got no answer, ran the attempt again if it arrived once the attempt had ended and been forgotten, while control had started the task elsewhere.

The stand-in now tells it by the highest token that it has started, and the interface says that this holds after Forget too.

--- a/internal/worker/lwplatform/platform.go
+++ b/internal/worker/lwplatform/platform.go
@@ -89,7 +89,8 @@
 	Age  lwunit.Duration  `json:"age"`
 }
 
-// Platform runs tasks on one worker. Start is idempotent for the same token; it
+// Platform runs tasks on one worker. Start is idempotent for the same token, also
+// after Forget: a copy that is carried out late starts nothing. It
 // returns a Fenced fault for a token lower than one it has received for the task.
 type Platform interface {
 	List(ctx context.Context) (Listing, error)
--- a/internal/worker/lwstandin/worker.go
+++ b/internal/worker/lwstandin/worker.go
@@ -204,13 +204,11 @@
 	if r.Token < w.highestToken[r.Task] {
 		return lwfault.New(lwfault.Fenced, "token %d is lower than token %d of an earlier start", r.Token, w.highestToken[r.Task])
 	}
-	if old := w.tasks[r.Task]; old != nil {
-		if old.status.Token == r.Token {
-			return nil
-		}
-		if old.status.State == lwplatform.StateRunning {
-			return lwfault.New(lwfault.Conflict, "attempt %d is still running", old.status.Token)
-		}
+	if r.Token == w.highestToken[r.Task] {
+		return nil // also if the attempt has ended and been forgotten
+	}
+	if old := w.tasks[r.Task]; old != nil && old.status.State == lwplatform.StateRunning {
+		return lwfault.New(lwfault.Conflict, "attempt %d is still running", old.status.Token)
 	}
 	now := time.Now()
 	a := &attempt{
