Lose a worker only in the term in which its leases expired

The leader computed which workers' leases had expired once, then proposed the loss of one after the other, and waits up to 5 s for each. If it lost its leadership meanwhile, another leader could renew the leases of a later one, which need not register again. When this replica led again, it went on with its list: the loss committed, since the registration was the same, and the worker's tasks were placed elsewhere while they ran under leases of the other leader.

Found by reading; no trace of it is known. It takes two changes of leader and at least two lost workers within the time of one proposal, or a replica that is held up between the two steps.

A proposal may now name the term in which it holds, and the core refuses it in another. The loss of a worker does. Only proposals of the leader's own goroutine change; log and wire stay as they are.

TestWorkerIsLostOnlyInTermInWhichItsLeasesHaveExpired, with the term left out of the proposal: "in another term" fails, the worker is lost. It is not now. The tests of lwreplica and lwcontrol pass.

--- a/internal/control/lwcontrol/fixture_test.go
+++ b/internal/control/lwcontrol/fixture_test.go
@@ -9,7 +9,9 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 )
 
@@ -45,3 +47,14 @@
 		is.NoErr(<-ended)
 	})
 }
+
+// proposeAs proposes a command as a client does.
+func proposeAs(t *testing.T, n *Node, c lwstate.Command) error {
+	t.Helper()
+	params, err := lwlink.EncodeProposal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = n.onPropose(t.Context(), nil, params)
+	return err
+}
--- a/internal/control/lwcontrol/leader.go
+++ b/internal/control/lwcontrol/leader.go
@@ -117,7 +117,8 @@
 }
 
 // declareLostWorkers proposes the loss of workers whose leases have certainly
-// expired, which ends the attempts on them.
+// expired, which ends the attempts on them. A leader in between may have renewed the
+// leases, so the loss is proposed in the term in which they have expired or not at all.
 func (l *leader) declareLostWorkers(ctx context.Context, r *replica) {
 	var holders []lwlease.Holder
 	l.mu.Lock()
@@ -128,7 +129,7 @@
 			}
 		})
 	})
-	expired := l.leases.Expired(holders, r.now())
+	expired, term := l.leases.Expired(holders, r.now()), l.term
 	l.mu.Unlock()
 	for _, h := range expired {
 		l.node.log.Warn("worker lost: its leases have expired", zap.String("worker", string(h.Worker)))
@@ -140,7 +141,7 @@
 		})
 		l.mu.Unlock()
 		l.logLosses(lost)
-		l.propose(ctx, r, lwstate.LoseWorker{Worker: h.Worker, Registered: h.Registration, Lost: lost})
+		l.proposeIn(ctx, r, term, lwstate.LoseWorker{Worker: h.Worker, Registered: h.Registration, Lost: lost})
 	}
 }
 
@@ -211,7 +212,11 @@
 }
 
 func (l *leader) propose(ctx context.Context, r *replica, c lwstate.Command) {
-	if _, res, err := r.propose(ctx, c); err != nil || res.Err != nil {
+	l.proposeIn(ctx, r, 0, c)
+}
+
+func (l *leader) proposeIn(ctx context.Context, r *replica, term lwreplica.Term, c lwstate.Command) {
+	if _, res, err := r.proposeIn(ctx, term, c); err != nil || res.Err != nil {
 		l.node.log.Debug("leader command failed", zap.Error(err), zap.NamedError("result", res.Err))
 	}
 }
--- /dev/null
+++ b/internal/control/lwcontrol/leader_test.go
@@ -0,0 +1,78 @@
+package lwcontrol
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lavenderweir.example/lavenderweir/internal/base/lwlog"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwlease"
+	"lavenderweir.example/lavenderweir/internal/control/lwlink"
+	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
+	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+)
+
+// losingLeader returns a node that leads, in whose term the leases of worker w have
+// expired. Another worker has been given leases since.
+func losingLeader(t *testing.T) *Node {
+	t.Helper()
+	is := is.New(t)
+	n := leadingNode(t, func(lwstate.Command) {})
+	n.cfg.Lease, n.cfg.Placement = lwlease.DefaultConfig(), lwplacement.DefaultConfig()
+	n.decisionLog = lwlog.NewRateLimitedLogger(n.log, decisionsPerSecond)
+	n.leader = newLeader(n)
+	r := n.replica
+	is.True(n.leader.ensureTerm(r))
+	for _, id := range []string{"v", "w"} {
+		is.NoErr(proposeAs(t, n, registration(id)))
+		_, err := n.leader.sync(t.Context(), r, nil, syncOf(id))
+		is.NoErr(err)
+	}
+	time.Sleep(n.cfg.Lease.ExpiryDelay() / 2)
+	_, err := n.leader.sync(t.Context(), r, nil, syncOf("v"))
+	is.NoErr(err)
+	time.Sleep(n.cfg.Lease.ExpiryDelay()/2 + time.Second)
+	return n
+}
+
+func registration(id string) lwstate.RegisterWorker {
+	return lwstate.RegisterWorker{Spec: lwstate.WorkerSpec{ID: lwunit.WorkerID(id)}, Incarnation: "i"}
+}
+
+func syncOf(id string) lwlink.Sync {
+	return lwlink.Sync{Worker: lwunit.WorkerID(id), Incarnation: "i"}
+}
+
+// The proposals for the workers before it may take several elections. A worker whose
+// leases have expired in one term may have been given new ones by another leader when
+// this replica leads again.
+func TestWorkerIsLostOnlyInTermInWhichItsLeasesHaveExpired(t *testing.T) {
+	lost := func(n *Node, id lwunit.WorkerID) (lost bool) {
+		n.replica.read(func(s *lwstate.State) {
+			w, _ := s.Worker(id)
+			lost = w.Lost
+		})
+		return lost
+	}
+	t.Run("in the same term", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := losingLeader(t)
+			n.leader.declareLostWorkers(t.Context(), n.replica)
+			is.True(lost(n, "w"))
+			is.True(!lost(n, "v"))
+		})
+	})
+	t.Run("in another term", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := losingLeader(t)
+			n.leader.term++ // they have not expired in the term of the replica
+			n.leader.declareLostWorkers(t.Context(), n.replica)
+			is.True(!lost(n, "w"))
+		})
+	})
+}
--- a/internal/control/lwcontrol/submit.go
+++ b/internal/control/lwcontrol/submit.go
@@ -33,6 +33,13 @@
 // propose commits a command and returns the revision at which it was applied and
 // its result.
 func (r *replica) propose(ctx context.Context, c lwstate.Command) (lwunit.Revision, lwstate.Result, error) {
+	return r.proposeIn(ctx, 0, c)
+}
+
+// proposeIn is propose for a command that follows from what this replica knows as the
+// leader of a term. It is refused in another term, 0 being any, since another leader
+// may have acted in between.
+func (r *replica) proposeIn(ctx context.Context, term lwreplica.Term, c lwstate.Command) (lwunit.Revision, lwstate.Result, error) {
 	if r.diskLow.Load() {
 		return 0, lwstate.Result{}, &lwfault.Fault{Kind: lwfault.Overloaded, Detail: "the control replica's disk is nearly full", RetryAfter: time.Minute}
 	}
@@ -48,7 +55,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.Propose{ID: id, Data: data} })
+	w, err := r.submit(ctx, func(id uint64) lwreplica.Event { return lwreplica.Propose{ID: id, Data: data, Term: term} })
 	if err != nil {
 		return 0, lwstate.Result{}, err
 	}
--- a/internal/control/lwreplica/replicate.go
+++ b/internal/control/lwreplica/replicate.go
@@ -9,7 +9,7 @@
 )
 
 func (c *Core) propose(e Propose) {
-	if c.role != Leader {
+	if c.role != Leader || (e.Term != 0 && e.Term != c.hardState.Term) {
 		c.out.Refused = append(c.out.Refused, RefusedRequest{e.ID, errNotLeader()})
 		return
 	}
--- a/internal/control/lwreplica/types.go
+++ b/internal/control/lwreplica/types.go
@@ -189,6 +189,7 @@
 type Propose struct {
 	ID   uint64
 	Data []byte
+	Term Term // in which the command holds; 0 if in any
 }
 
 // Flush makes a leader send the entries that it has not sent yet, to each member
