Do not run a request again when its service keeps records longer

An entry sends the retention of the service with each claim that it binds. If a ticket raised key_retention, or an entry of another region had a longer one, a resend between the two was bound afresh and ran a second time, and an entry without backend servers called it not_run. A resend after the record's retention should be refused.

Before the leader proposes a claim, it refuses a key that is as old as that and has no claim, and lowers the retention to that of the claim if there is one, so that the claim cannot be bound again if it is removed before the command is applied. It does so only while it holds its lease, since a new leader may not have applied a removal yet, and for its term only. Entries ask for the floor with the claim.

The check is at the leader and not in the state machine, because replicas of an older version would apply such a command otherwise.

--- a/internal/control/lwcontrol/handlers.go
+++ b/internal/control/lwcontrol/handlers.go
@@ -105,13 +105,32 @@
 	if err != nil {
 		return nil, err
 	}
-	rev, res, err := r.propose(ctx, cmd)
+	term := lwreplica.Term(0)
+	if bind, ok := cmd.(lwstate.BindClaim); ok {
+		if cmd, term, err = r.limitRetention(bind); err != nil {
+			return nil, err
+		}
+	}
+	rev, res, err := r.proposeIn(ctx, term, cmd)
 	if err != nil {
 		return nil, err
 	}
 	return lwlink.EncodeResult(rev, res), nil
 }
 
+// limitRetention returns a command to bind a claim as the leader proposes it, and the
+// term in which it holds. The state of a leader that may act includes all claims that
+// earlier leaders have removed.
+func (r *replica) limitRetention(c lwstate.BindClaim) (lwstate.Command, lwreplica.Term, error) {
+	v := r.currentView()
+	if !r.stillLeads(v.term) {
+		return nil, 0, &lwfault.Fault{Kind: lwfault.NotLeader, Detail: "ask the leader", Leader: v.leaderAddress}
+	}
+	var err error
+	r.read(func(s *lwstate.State) { c, err = s.LimitRetention(c) })
+	return c, v.term, err
+}
+
 func (n *Node) onSync(ctx context.Context, s *lwrpc.Session, params json.RawMessage) (any, error) {
 	r, err := n.requireReplica()
 	if err != nil {
@@ -254,6 +273,7 @@
 		res.Tickets = []lwstate.TicketRecord{rec}
 	case lwlink.QueryClaim:
 		if q.Claim != nil {
+			res.ClaimFloor = s.ClaimFloor(*q.Claim)
 			if claim, ok := s.Claim(*q.Claim); ok {
 				res.Claim = &claim
 			}
--- a/internal/control/lwlink/message.go
+++ b/internal/control/lwlink/message.go
@@ -166,8 +166,11 @@
 	Objects  []lwstate.ObjectRecord  `json:"objects,omitempty"`
 	Tickets  []lwstate.TicketRecord  `json:"tickets,omitempty"`
 	Claim    *lwstate.Claim          `json:"claim,omitempty"`
-	Nodes    []NodeStatus            `json:"nodes,omitempty"`
-	Replicas []ReplicaStatus         `json:"replicas,omitempty"`
+	// ClaimFloor is the time up to which claims like the one asked for may have been
+	// removed, by the creation of their keys.
+	ClaimFloor lwunit.Millis   `json:"claim_floor,omitempty"`
+	Nodes      []NodeStatus    `json:"nodes,omitempty"`
+	Replicas   []ReplicaStatus `json:"replicas,omitempty"`
 }
 
 // WorkerStatus is a worker with its free resources and its number of tasks.
--- a/internal/control/lwstate/claim.go
+++ b/internal/control/lwstate/claim.go
@@ -1,6 +1,9 @@
 package lwstate
 
 import (
+	"cmp"
+	"time"
+
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 )
@@ -10,6 +13,30 @@
 	return string(k.Team) + "\x00" + string(k.Service) + "\x00" + k.Key
 }
 
+// floorKey returns the key under which the newest removed claim of the team at the
+// service is noted.
+func (k ClaimKey) floorKey() string { return string(k.Team) + "\x00" + string(k.Service) }
+
+// ClaimFloor returns the time up to which claims of the key's team at its service may
+// have been removed, by the creation of their keys.
+func (s *State) ClaimFloor(k ClaimKey) lwunit.Millis { return s.c.ClaimFloors[k.floorKey()] }
+
+// LimitRetention returns the command with which a request may be bound. The retention
+// of a service may rise after a copy of the request was bound, and differs between
+// regions. So a claim that exists keeps its own, and a request whose claim may have been
+// removed is refused. The leader asks before it proposes the command: older versions
+// apply that the same way.
+func (s *State) LimitRetention(c BindClaim) (BindClaim, error) {
+	if existing, ok := s.Claim(c.Key); ok {
+		c.Retention = min(c.Retention, lwunit.Duration(existing.Expires-c.Created)*lwunit.Duration(time.Millisecond))
+		return c, nil
+	}
+	if c.Created <= s.ClaimFloor(c.Key) {
+		return c, lwfault.New(lwfault.Expired, "records of requests with keys as old as this one have been removed, so the request is not run")
+	}
+	return c, nil
+}
+
 // bindClaim binds a non-idempotent request to one agent incarnation, or returns
 // the claim as it stands if the request was bound before and not released.
 func (s *State) bindClaim(c BindClaim) Result {
@@ -37,7 +64,7 @@
 	s.c.LastToken++
 	claim := &Claim{
 		Key: c.Key, Request: c.Request, Phase: ClaimBound, Token: s.c.LastToken, Backend: b.ID, Worker: b.Worker,
-		Incarnation: b.Incarnation, Bound: s.c.Clock, Expires: expires,
+		Incarnation: b.Incarnation, Created: c.Created, Bound: s.c.Clock, Expires: expires,
 	}
 	s.c.Claims[c.Key.mapKey()] = claim
 	return Result{Claim: *claim, Fresh: true}
@@ -71,6 +98,8 @@
 func (s *State) sweep() Result {
 	for key, claim := range s.c.Claims {
 		if claim.Expires <= s.c.Clock {
+			floor := claim.Key.floorKey()
+			s.c.ClaimFloors[floor] = max(s.c.ClaimFloors[floor], cmp.Or(claim.Created, claim.Bound))
 			delete(s.c.Claims, key)
 		}
 	}
--- a/internal/control/lwstate/model.go
+++ b/internal/control/lwstate/model.go
@@ -196,6 +196,7 @@
 	Worker      lwunit.WorkerID        `json:"worker"`
 	Incarnation lwunit.Incarnation     `json:"incarnation"`
 	Answer      *Answer                `json:"answer,omitempty"`
+	Created     lwunit.Millis          `json:"created,omitempty"` // time of creation encoded in the key; 0 if an older version bound it
 	Bound       lwunit.Millis          `json:"bound"`
 	Expires     lwunit.Millis          `json:"expires"`
 }
--- a/internal/control/lwstate/state.go
+++ b/internal/control/lwstate/state.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -42,6 +43,7 @@
 	Jobs        map[lwunit.JobID]*Job             `json:"jobs"`
 	Tasks       map[lwunit.TaskID]*Task           `json:"tasks"`
 	Claims      map[string]*Claim                 `json:"claims"`
+	ClaimFloors map[string]lwunit.Millis          `json:"claim_floors,omitempty"` // per team and service, the highest Created of the removed claims
 
 	Backends        map[lwunit.BackendServerID]*BackendServer `json:"backends"`
 	BackendRevision lwunit.Revision                           `json:"backend_revision"`
@@ -79,7 +81,7 @@
 	s := &State{queues: lwjob.NewTable(), c: contents{
 		Version: Version, Tickets: make(map[lwticket.Number]*TicketRecord), Objects: make(map[string]*ObjectRecord),
 		Workers: make(map[lwunit.WorkerID]*Worker), Jobs: make(map[lwunit.JobID]*Job), Tasks: make(map[lwunit.TaskID]*Task),
-		Claims: make(map[string]*Claim), Backends: make(map[lwunit.BackendServerID]*BackendServer),
+		Claims: make(map[string]*Claim), ClaimFloors: make(map[string]lwunit.Millis), Backends: make(map[lwunit.BackendServerID]*BackendServer),
 		Evacuations: make(lwevacuation.Table),
 	}}
 	s.buildIndexes()
@@ -108,6 +110,7 @@
 	c.Jobs = cloneMap(s.c.Jobs)
 	c.Tasks = cloneMap(s.c.Tasks)
 	c.Claims = cloneMap(s.c.Claims)
+	c.ClaimFloors = maps.Clone(s.c.ClaimFloors)
 	c.Backends = cloneMap(s.c.Backends)
 	c.Evacuations = s.c.Evacuations.Clone()
 	return &State{c: c, queues: s.queues.Clone()}
--- a/internal/entry/lwentry/claim.go
+++ b/internal/entry/lwentry/claim.go
@@ -144,15 +144,15 @@
 // no claim for its key, or the claim is released. Without a claim that holds only
 // while the retention lasts; after it the claim may have been removed.
 func (e *Entry) certainlyNotRun(ctx context.Context, bind lwstate.BindClaim) bool {
-	claim, err := e.fetchClaim(ctx, bind.Key)
+	res, err := e.control.Query(ctx, claimQuery(bind.Key))
 	if err != nil {
 		return false
 	}
-	if claim == nil {
+	if res.Claim == nil {
 		latest := lwunit.Millis(time.Now().Add(clockSkewMargin).UnixMilli())
-		return latest < bind.Created.Add(bind.Retention.Std())
+		return bind.Created > res.ClaimFloor && latest < bind.Created.Add(bind.Retention.Std())
 	}
-	return claim.Phase == lwstate.ClaimReleased
+	return res.Claim.Phase == lwstate.ClaimReleased
 }
 
 // finishAttempt answers according to the result of the one attempt of a binding
