Do not call a request not run that its transport has sent twice

http.Transport sends a request again by itself when a reused connection fails before the answer, if the request has no body that it cannot read again and is a GET or names an idempotency key. Its error is that of the second connection. If an agent or a backend server ended while it ran the request, that was a refused dial, which entries and agents took as proof that no byte had been sent: callers read the outcome not_run of a request that may have run. Nor did such a request count as one that breaks its backend servers, so that a request which ends each of them went on to the next without limit but its retries.

Requests under a claim have a body that cannot be read again and are not concerned: they are sent once per binding.

Entries and agents now count the connections that a request was given, and call it never sent only if the dial failed and there was none.

--- a/internal/entry/lwentry/request.go
+++ b/internal/entry/lwentry/request.go
@@ -236,14 +236,15 @@
 // sendTo sends the request to a backend server, under a claim unless it is idempotent.
 func (e *Entry) sendTo(ctx context.Context, q *request, target lwroute.Target, claim *lwstate.Claim) attempt {
 	a := attempt{target: target}
-	req, err := e.newAgentRequest(ctx, q, target, claim)
+	var trace lwhttp.SendTrace
+	req, err := e.newAgentRequest(trace.Context(ctx), q, target, claim)
 	if err != nil {
 		a.err, a.notRun = err, true
 		q.service.router.Done(target.Backend, a.report)
 		return a
 	}
 	res, err := e.agentClient.Do(req)
-	a.classify(res, err)
+	a.classify(res, err, &trace)
 	if a.res == nil || a.err != nil {
 		q.service.router.Done(target.Backend, a.report)
 	}
@@ -288,9 +289,9 @@
 
 // classify sets the result of an attempt: whether the request can have run, and
 // the report for routing.
-func (a *attempt) classify(res *http.Response, err error) {
+func (a *attempt) classify(res *http.Response, err error, trace *lwhttp.SendTrace) {
 	if err != nil {
-		a.notRun = neverSent(err)
+		a.notRun = trace.NeverSent(err)
 		a.report.Outcome = lwroute.Failed
 		a.err = &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "request to the agent of worker " + string(a.target.Worker), Cause: err}
 		return
--- a/internal/worker/lwagent/serve.go
+++ b/internal/worker/lwagent/serve.go
@@ -223,7 +223,8 @@
 	defer span.End()
 	body := lwhttp.NewGuardedBody(r.Body)
 	defer func() { _ = body.Close() }()
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+s.address+r.URL.RequestURI()[len(PathGate):], body)
+	var trace lwhttp.SendTrace
+	req, err := http.NewRequestWithContext(trace.Context(ctx), r.Method, "http://"+s.address+r.URL.RequestURI()[len(PathGate):], body)
 	if err != nil {
 		lwhttp.WriteProblem(w, &lwfault.Fault{Kind: lwfault.Invalid, Detail: "request", Cause: err})
 		return nil
@@ -240,7 +241,7 @@
 	began := time.Now()
 	res, err := s.httpClient().Do(req)
 	if err != nil {
-		writeBackendError(w, r, err)
+		writeBackendError(w, r, err, &trace)
 		return nil
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -264,12 +265,11 @@
 	return 0
 }
 
-// writeBackendError answers that the backend server gave no answer. After a
-// failed dial the answer also marks the request as not run, unless it has a
-// claim, which counts as run already.
-func writeBackendError(w http.ResponseWriter, r *http.Request, err error) {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" && r.Header.Get(lwheader.Claim) == "" {
+// writeBackendError answers that the backend server gave no answer. If the request
+// was never sent, the answer also marks it as not run, unless it has a claim, which
+// counts as run already.
+func writeBackendError(w http.ResponseWriter, r *http.Request, err error, trace *lwhttp.SendTrace) {
+	if trace.NeverSent(err) && r.Header.Get(lwheader.Claim) == "" {
 		writeRefusal(w, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "the backend server does not accept connections", Cause: err})
 		return
 	}
