Refuse leases that were reckoned by the clock of another platform

The end of a lease is told to a platform on its own clock, so that a call that is carried out late does not extend the lease. An agent reads that clock with a list. If the platform was started again after the list, its clock had another origin, usually lower, and the end lay far ahead: a start or a renewal that the new platform carried out late lasted for its whole length from then, up to 10 s past the end that control counts on. Control places the task elsewhere after 12.2 s if the agent is lost then.

A platform may now identify its clock with a list (Platform-Clock-Id), the agent repeats that with each lease (clock_id), and the platform refuses a lease of another clock; the agent lists before it tries again. Nothing changes for a platform that tells no identity: agents send the field only to those that do, and older agents never send it.

TestLateCallsDoNotExtendLease: two new cases, of a start and of a renewal, failed with "[{j/0 1}] runs after its lease has ended". They pass, 10 runs.

--- a/internal/worker/lwagent/agent.go
+++ b/internal/worker/lwagent/agent.go
@@ -95,7 +95,8 @@
 	cpuPercent       map[lwplatform.Attempt]int               // limits that this agent has ordered
 
 	platformClock       lwplatform.Clock // as told with the last list; 0 if the platform tells none
-	platformClockReadAt time.Duration    // on clock, when that list had arrived
+	platformClockID     lwplatform.ClockID
+	platformClockReadAt time.Duration // on clock, when that list had arrived
 
 	usageAt time.Time // when usage was last requested from the platform
 }
--- a/internal/worker/lwagent/lease_test.go
+++ b/internal/worker/lwagent/lease_test.go
@@ -104,6 +104,31 @@
 			expectEndedBy(t, a, p, end)
 		})
 	})
+	t.Run("start at a platform that was started again, whose clock has another origin", func(t *testing.T) {
+		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
+			order(t, a, task, end)
+			p.Worker = lwstandin.NewWorker()
+			time.Sleep(grantedLease / 2)
+			p.carryOut()
+			expectEndedBy(t, a, p, end)
+		})
+	})
+	t.Run("renewal at a platform that was started again beside its tasks", func(t *testing.T) {
+		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
+			order(t, a, task, end)
+			p.carryOut()
+			a.renewLeases(t.Context(), listed(t, a), end)
+			p.Worker = lwstandin.NewWorker()
+			time.Sleep(grantedLease / 2)
+			left := lwplatform.Lease{Left: lwunit.Duration(end - a.clock.Now())}
+			attempt := lwplatform.Attempt{Task: task.Task, Token: task.Token}
+			if err := p.Worker.Start(t.Context(), lwplatform.StartRequest{Attempt: attempt, Lease: left, Program: task.Program}); err != nil {
+				t.Fatal(err)
+			}
+			p.carryOut()
+			expectEndedBy(t, a, p, end)
+		})
+	})
 	t.Run("renewal", func(t *testing.T) {
 		withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
 			order(t, a, task, end)
--- a/internal/worker/lwagent/sync.go
+++ b/internal/worker/lwagent/sync.go
@@ -155,7 +155,7 @@
 	defer cancel()
 	l, err := a.cfg.Platform.List(call)
 	if err == nil {
-		a.platformClock, a.platformClockReadAt = l.Clock, a.clock.Now()
+		a.platformClock, a.platformClockID, a.platformClockReadAt = l.Clock, l.ClockID, a.clock.Now()
 	}
 	return l.Attempts, err
 }
@@ -166,7 +166,7 @@
 func (a *Agent) leaseUntil(end time.Duration) lwplatform.Lease {
 	l := lwplatform.Lease{Left: lwunit.Duration(end - a.clock.Now())}
 	if a.platformClock != 0 {
-		l.Until = a.platformClock.Add(end - a.platformClockReadAt)
+		l.Until, l.ClockID = a.platformClock.Add(end-a.platformClockReadAt), a.platformClockID
 	}
 	return l
 }
--- a/internal/worker/lwplatform/platform.go
+++ b/internal/worker/lwplatform/platform.go
@@ -54,22 +54,32 @@
 // Add returns the reading after d.
 func (c Clock) Add(d time.Duration) Clock { return c + Clock(d.Milliseconds()) }
 
-// ClockHeader is the header in which the platform tells its clock with a list.
-const ClockHeader = "Platform-Clock"
+// ClockID identifies the origin of a platform's clock. It changes whenever the clock
+// begins anew, as when the platform is started again; empty if the platform tells none.
+type ClockID string
+
+// Headers in which the platform tells its clock with a list.
+const (
+	ClockHeader   = "Platform-Clock"
+	ClockIDHeader = "Platform-Clock-Id"
+)
 
 // Listing holds the attempts that Forget has not removed. Clock was read before the
 // platform answered.
 type Listing struct {
 	Clock    Clock
+	ClockID  ClockID
 	Attempts []AttemptStatus
 }
 
 // Lease is the time for which attempts may run: until Left after the platform has
 // received it, and no longer than Until. Without Until, a call that is carried out
-// late extends the lease beyond its end.
+// late extends the lease beyond its end. So does an Until that was reckoned by another
+// clock, which the platform refuses.
 type Lease struct {
-	Left  lwunit.Duration `json:"lease"`
-	Until Clock           `json:"until,omitempty"`
+	Left    lwunit.Duration `json:"lease"`
+	Until   Clock           `json:"until,omitempty"`
+	ClockID ClockID         `json:"clock_id,omitempty"` // of the clock of Until
 }
 
 // StartRequest is the body of PathStart. It starts an attempt under a lease.
@@ -189,6 +199,7 @@
 		}
 		l.Clock = Clock(ms)
 	}
+	l.ClockID = ClockID(header.Get(ClockIDHeader))
 	return l, nil
 }
 
--- a/internal/worker/lwstandin/server.go
+++ b/internal/worker/lwstandin/server.go
@@ -45,6 +45,7 @@
 		return
 	}
 	rw.Header().Set(lwplatform.ClockHeader, strconv.FormatInt(int64(l.Clock), 10))
+	rw.Header().Set(lwplatform.ClockIDHeader, string(l.ClockID))
 	lwhttp.WriteJSON(rw, http.StatusOK, l.Attempts)
 }
 
--- a/internal/worker/lwstandin/worker.go
+++ b/internal/worker/lwstandin/worker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"sort"
 	"strconv"
@@ -31,6 +32,7 @@
 // as a duration.
 type Worker struct {
 	bootedAt     time.Time // origin of its clock
+	clockID      lwplatform.ClockID
 	mu           sync.Mutex
 	tasks        map[lwunit.TaskID]*attempt
 	highestToken map[lwunit.TaskID]lwunit.FencingToken
@@ -52,7 +54,7 @@
 // NewWorker returns a worker that runs nothing.
 func NewWorker() *Worker {
 	return &Worker{
-		bootedAt: time.Now(), tasks: make(map[lwunit.TaskID]*attempt), highestToken: make(map[lwunit.TaskID]lwunit.FencingToken),
+		bootedAt: time.Now(), clockID: lwplatform.ClockID(rand.Text()), tasks: make(map[lwunit.TaskID]*attempt), highestToken: make(map[lwunit.TaskID]lwunit.FencingToken),
 		starts: make(map[lwunit.TaskID]int),
 	}
 }
@@ -168,6 +170,14 @@
 // clock returns the reading of the worker's clock at a time.
 func (w *Worker) clock(at time.Time) lwplatform.Clock { return clockOrigin.Add(at.Sub(w.bootedAt)) }
 
+// checkClock returns a fault if a lease was reckoned by another clock than the worker's.
+func (w *Worker) checkClock(l lwplatform.Lease) error {
+	if l.ClockID != "" && l.ClockID != w.clockID {
+		return lwfault.New(lwfault.Fenced, "the lease was reckoned by another clock; list the attempts first")
+	}
+	return nil
+}
+
 // leaseEnd returns when a lease that was received now ends.
 func (w *Worker) leaseEnd(now time.Time, l lwplatform.Lease) time.Time {
 	end := now.Add(l.Left.Std())
@@ -191,7 +201,7 @@
 		list = append(list, a.status)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Task < list[j].Task })
-	return lwplatform.Listing{Clock: w.clock(time.Now()), Attempts: list}, nil
+	return lwplatform.Listing{Clock: w.clock(time.Now()), ClockID: w.clockID, Attempts: list}, nil
 }
 
 // Start starts an attempt. It returns a fault if the token is lower than that of
@@ -201,6 +211,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.updateStates()
+	if err := w.checkClock(r.Lease); err != nil {
+		return err
+	}
 	if r.Token < w.highestToken[r.Task] {
 		return lwfault.New(lwfault.Fenced, "token %d is lower than token %d of an earlier start", r.Token, w.highestToken[r.Task])
 	}
@@ -258,6 +271,9 @@
 func (w *Worker) Renew(_ context.Context, lease lwplatform.Lease, attempts []lwplatform.Attempt) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if err := w.checkClock(lease); err != nil {
+		return err
+	}
 	for _, at := range attempts {
 		if a, err := w.findAttempt(at); err == nil && a.status.State == lwplatform.StateRunning {
 			if end := w.leaseEnd(time.Now(), lease); end.After(a.leaseExpiresAt) {
