Show that a list that did not arrive ends no attempt

An agent concludes from a list which attempts have ended, so a refused, empty, truncated or malformed answer must not pass as a list without attempts. It does not: the client returns an error, and the agent neither reports nor starts anything then. No test showed it.

--- a/internal/worker/lwagent/missing_test.go
+++ b/internal/worker/lwagent/missing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -124,3 +125,29 @@
 		})
 	})
 }
+
+// refusingPlatform refuses its list, as one that closes its listener to start again.
+type refusingPlatform struct{ *latePlatform }
+
+func (refusingPlatform) List(context.Context) (lwplatform.Listing, error) {
+	return lwplatform.Listing{}, errors.New("connection refused")
+}
+
+// A refused connection shows that nothing listens, not that nothing runs. An agent
+// without a list must report nothing and start nothing.
+func TestRefusedListReportsNothing(t *testing.T) {
+	withLatePlatform(t, func(t *testing.T, a *Agent, p *latePlatform, task lwlink.Assignment, end time.Duration) {
+		order(t, a, task, end)
+		p.carryOut()
+		a.cfg.Platform = refusingPlatform{p}
+		if a.hasReports(t.Context()) {
+			t.Error("reports are due")
+		}
+		if a.syncOnce(t.Context()) { // without a client, which an exchange would use
+			t.Error("another exchange follows")
+		}
+		if len(p.delayed) > 0 || len(p.Running()) != 1 {
+			t.Error("the platform was told something")
+		}
+	})
+}
