--- a/internal/control/lwcontrol/leader_test.go
+++ b/internal/control/lwcontrol/leader_test.go
@@ -76,3 +76,43 @@
 		})
 	})
 }
+
+// An agent that control takes for another, or for lost, must get no lease: the tasks of
+// its worker are given to another agent or placed elsewhere.
+func TestLeaseIsGrantedToRegisteredAgentOnly(t *testing.T) {
+	expectNone := func(t *testing.T, n *Node, m lwlink.Sync) {
+		t.Helper()
+		is := is.New(t)
+		res, err := n.leader.sync(t.Context(), n.replica, nil, m)
+		is.NoErr(err)
+		is.True(res.Register)
+		is.Equal(res.Lease.Std(), time.Duration(0))
+	}
+	t.Run("its worker has registered with another agent", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := losingLeader(t)
+			next := registration("v")
+			next.Incarnation = "j"
+			is.NoErr(proposeAs(t, n, next))
+			expectNone(t, n, syncOf("v"))
+		})
+	})
+	t.Run("its leases have expired, though the loss is not recorded yet", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			n := losingLeader(t)
+			n.leader.term++ // keeps the loss from being recorded
+			n.leader.declareLostWorkers(t.Context(), n.replica)
+			n.leader.term--
+			expectNone(t, n, syncOf("w"))
+		})
+	})
+	t.Run("its worker was lost under an earlier leader", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			n := losingLeader(t)
+			n.leader.declareLostWorkers(t.Context(), n.replica)
+			n.leader.leases = lwlease.NewTracker(n.cfg.Lease)
+			expectNone(t, n, syncOf("w"))
+		})
+	})
+}
