--- a/internal/worker/lwagent/lost_test.go
+++ b/internal/worker/lwagent/lost_test.go
@@ -78,3 +78,18 @@
 	}
 	is.Equal(s.Workers[at].Starts("roll/0"), 1)
 }
+
+// The platform of a running task loses its list, as when its VM is started again. The
+// task must run again, but not before its lease would have ended: an agent cannot tell
+// such a platform from one that has not found its tasks yet.
+func TestTaskThatItsPlatformLostRunsAgainAfterItsLease(t *testing.T) {
+	is := is.New(t)
+	s, at := startSystemWithJob(t)
+	s.Workers[at].Reboot()
+	lostAt := time.Now()
+	for deadline := lostAt.Add(testTimeout); len(runningOn(s)) == 0; time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+	}
+	t.Logf("the task runs again after %s", time.Since(lostAt))
+	is.True(time.Since(lostAt) > 2*time.Second) // it was renewed at most 2.2 s before, for 5 s
+}
