Show that the wait for a lease does not age a lost attempt

TestAgeOfLostAttemptEndsWhenItWasMissed fails if the leader does not take off the time for which the agent has missed the attempt (gone_for).

--- a/internal/control/lwcontrol/leader_test.go
+++ b/internal/control/lwcontrol/leader_test.go
@@ -116,3 +116,28 @@
 		})
 	})
 }
+
+// An agent reports an attempt that its platform lacks once its lease has ended. Young
+// attempts are the more suspect of having crashed the platform, so the wait must not
+// count towards their age.
+func TestAgeOfLostAttemptEndsWhenItWasMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := losingLeader(t)
+		is.NoErr(proposeAs(t, n, lwstate.ApplyTicket{Ticket: []byte(`{"number": 1, "author": "test", "objects": [{"kind": "team", "name": "t", "spec": {}}]}`)}))
+		is.NoErr(proposeAs(t, n, lwstate.SubmitJob{Spec: lwstate.JobSpec{ID: "j", Team: "t", Program: "p", Needs: lwunit.Resources{Millicores: 1, Memory: 1}}}))
+		is.NoErr(proposeAs(t, n, lwstate.PlaceTasks{Placements: []lwstate.Placement{{Task: "j/0", Worker: "v"}}}))
+		task := func() (t lwstate.Task) {
+			n.replica.read(func(s *lwstate.State) { t, _ = s.Task("j/0") })
+			return t
+		}
+		time.Sleep(30 * time.Second)
+		m := syncOf("v")
+		m.Reports = []lwstate.TaskReport{{Task: "j/0", Token: task().Token, Event: lwstate.EventStopped, Gone: true, GoneFor: lwunit.Duration(12 * time.Second)}}
+		_, err := n.leader.sync(t.Context(), n.replica, nil, m)
+		is.NoErr(err)
+		is.Equal(task().Phase, lwstate.TaskQueued)
+		is.Equal(len(task().Crashes), 1)
+		is.Equal(task().Crashes[0].Age.Std(), 18*time.Second)
+	})
+}
