--- a/internal/worker/lwagent/reconcile.go
+++ b/internal/worker/lwagent/reconcile.go
@@ -42,20 +42,21 @@
 	for _, a := range assigned {
 		want[a.Task] = a
 	}
-	have := make(map[lwunit.TaskID]lwplatform.AttemptStatus, len(actual))
+	newest := make(map[lwunit.TaskID]lwunit.FencingToken, len(actual)) // on the platform, which may list several attempts of a task
+	running := make(map[lwunit.TaskID]bool, len(actual))
 	var acts []action
 	var used lwunit.Resources
 	for _, t := range actual {
-		have[t.Task] = t
+		newest[t.Task] = max(newest[t.Task], t.Token)
 		if t.State == lwplatform.StateRunning {
+			running[t.Task] = true
 			used = used.Add(t.Reserve)
 		}
 		acts = append(acts, attemptActions(t, want)...)
 	}
 	for _, a := range assigned {
-		t, present := have[a.Task]
 		startable := a.Stop == "" && !a.Running && !started[lwplatform.Attempt{Task: a.Task, Token: a.Token}] &&
-			(!present || (t.Token < a.Token && t.State != lwplatform.StateRunning))
+			newest[a.Task] < a.Token && !running[a.Task]
 		// Control may count a stop as done that is still in progress here, so
 		// the agent checks the free capacity again.
 		if startable && a.Reserve.Fits(capacity.Sub(used)) {
@@ -87,8 +88,10 @@
 
 // dueReports returns a report for each assigned attempt whose state control has
 // not received. An attempt that is not on the platform is reported as stopped if
-// it was started before or control asked for its stop.
-func dueReports(assigned []lwlink.Assignment, actual []lwplatform.AttemptStatus, reported map[lwplatform.Attempt]lwstate.TaskEvent, started map[lwplatform.Attempt]bool) []lwstate.TaskReport {
+// it was started before or control asked for its stop, but not while it may run:
+// control starts the task elsewhere at once. The platform may have lost its list, and
+// a start without an answer may still be carried out.
+func dueReports(assigned []lwlink.Assignment, actual []lwplatform.AttemptStatus, reported map[lwplatform.Attempt]lwstate.TaskEvent, started map[lwplatform.Attempt]bool, mayRun func(lwplatform.Attempt) bool) []lwstate.TaskReport {
 	have := make(map[lwplatform.Attempt]lwplatform.AttemptStatus, len(actual))
 	for _, t := range actual {
 		have[t.Attempt] = t
@@ -101,6 +104,8 @@
 		switch {
 		case present:
 			r.Event, r.Checkpoint, r.Reason = eventOf(t.State), t.Checkpoint, t.Reason
+		case mayRun(attempt):
+			continue
 		case a.Stop != "" || a.Running || started[attempt]:
 			r.Event, r.Reason, r.Gone = lwstate.EventStopped, "the platform does not have it", a.Stop == ""
 		default:
