Propose changes of the roster and of runs only in the term of their decision

Cause: a proposal of the dispatcher waits for the replica's driver. A replica that lost its leadership and won it again meanwhile proposed the change in the later term. A dismissal could thus take an incarnation off the roster that had reported since and ran tasks; a new leader would not wait for it and start them elsewhere (TWICE). A placement could replace a later one.

Changes of the roster, ends and placements are now proposed in the term in which they were decided or not at all, as the loss of a team's worker is.

--- a/internal/control/lwcontrol/dispatch_record.go
+++ b/internal/control/lwcontrol/dispatch_record.go
@@ -29,7 +29,8 @@
 
 // changeRoster proposes the pending changes, one proposal at a time: if one
 // overtook another, an incarnation that runs tasks could be missing from the
-// roster. The caller holds mu.
+// roster. They hold in this term only, as an incarnation that is dismissed may have
+// reported to a later leader. The caller holds mu.
 func (d *dispatcher) changeRoster(ctx context.Context, r *replica) {
 	if d.rosterInFlight || (len(d.pendingRoster.Enrol) == 0 && len(d.pendingRoster.Dismiss) == 0) {
 		return
@@ -37,7 +38,7 @@
 	c, term := d.pendingRoster, d.term
 	d.pendingRoster, d.rosterInFlight = lwstate.ChangeRoster{}, true
 	go func() {
-		_, _, err := r.propose(ctx, c)
+		_, _, err := r.proposeIn(ctx, term, c)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if d.term != term {
@@ -61,7 +62,8 @@
 
 // recordRuns proposes the pending ends, in order, and placements, one proposal at a time
 // with up to maxRunsRecorded of them. Ends and placements that arrive meanwhile share the
-// next proposal. The caller holds mu.
+// next proposal. They hold in this term only, as a later leader may have placed the tasks
+// elsewhere. The caller holds mu.
 func (d *dispatcher) recordRuns(ctx context.Context, r *replica) {
 	if d.recordInFlight || len(d.pendingEnds)+len(d.pendingPlacements) == 0 {
 		return
@@ -76,7 +78,7 @@
 		cmd.Ends = append(cmd.Ends, e.Numbered.End)
 	}
 	go func() {
-		_, _, err := r.propose(ctx, cmd)
+		_, _, err := r.proposeIn(ctx, term, cmd)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if d.term != term {
