Take no worker for enrolled whose dismissal is on its way

Cause: a proposal that got no answer in 5 s may be committed later.

An enrolment that is committed while a dismissal of the same incarnation is in flight or pending counts for nothing; the worker is enrolled again after it. TestLateEnrolmentIsOverruledByDismissal failed before.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -63,6 +63,7 @@
 	pendingPlacements      []lwjob.Placement      // to be proposed
 	recordInFlight         bool                   // a proposal of ends and placements is in flight
 	pendingRoster          lwstate.ChangeRoster   // to be proposed
+	proposedRoster         lwstate.ChangeRoster   // in flight
 	rosterInFlight         bool                   // a proposal of roster changes is in flight
 	jobsRemovedAt          time.Duration          // on the replica's clock, when removeEndedJobs last looked for jobs to remove
 	interferenceInFlight   bool                   // a proposal of interference is in flight
@@ -121,7 +122,7 @@
 	d.term = term
 	d.sessions = make(map[lwjob.WorkerIncarnation]*lwrpc.Session)
 	d.pendingEnds, d.pendingPlacements, d.recordInFlight = nil, nil, false
-	d.pendingRoster, d.rosterInFlight = lwstate.ChangeRoster{}, false
+	d.pendingRoster, d.proposedRoster, d.rosterInFlight = lwstate.ChangeRoster{}, lwstate.ChangeRoster{}, false
 	d.interferenceInFlight = false
 	roster, jobs := 0, 0
 	r.read(func(s *lwstate.State) {
@@ -192,7 +193,9 @@
 		}
 	case lwstate.ChangeRoster:
 		for _, w := range c.Enrol {
-			d.core.RosterRecorded(w.Incarnation)
+			if d.isEnrolled(w.Incarnation) {
+				d.core.RosterRecorded(w.Incarnation)
+			}
 		}
 	case lwstate.SetEvacuation:
 		d.applyEvacuation(s, c.Order.Domain)
--- a/internal/control/lwcontrol/dispatch_record.go
+++ b/internal/control/lwcontrol/dispatch_record.go
@@ -36,7 +36,7 @@
 		return
 	}
 	c, term := d.pendingRoster, d.term
-	d.pendingRoster, d.rosterInFlight = lwstate.ChangeRoster{}, true
+	d.pendingRoster, d.proposedRoster, d.rosterInFlight = lwstate.ChangeRoster{}, c, true
 	go func() {
 		_, _, err := r.proposeIn(ctx, term, c)
 		d.mu.Lock()
@@ -44,7 +44,7 @@
 		if d.term != term {
 			return // the core of the newer term was made from the roster as recorded
 		}
-		d.rosterInFlight = false
+		d.proposedRoster, d.rosterInFlight = lwstate.ChangeRoster{}, false
 		if err != nil {
 			d.node.log.Warn("cannot change the roster yet", zap.Int("enrol", len(c.Enrol)), zap.Int("dismiss", len(c.Dismiss)), zap.Error(err))
 			d.pendingRoster = mergeRoster(c, d.pendingRoster.Enrol, d.pendingRoster.Dismiss)
@@ -54,6 +54,13 @@
 	}()
 }
 
+// isEnrolled reports whether an incarnation that a committed change has added stays on the
+// roster. A proposal without an answer may be committed after a later one has dismissed the
+// incarnation, which then is to be added again. The caller holds mu.
+func (d *dispatcher) isEnrolled(incarnation lwjob.WorkerIncarnation) bool {
+	return !slices.Contains(d.proposedRoster.Dismiss, incarnation) && !slices.Contains(d.pendingRoster.Dismiss, incarnation)
+}
+
 func (d *dispatcher) propose(ctx context.Context, r *replica, c lwstate.Command) {
 	if _, _, err := r.propose(ctx, c); err != nil {
 		d.node.log.Warn("dispatcher command failed", zap.Error(err))
--- a/internal/control/lwcontrol/roster_test.go
+++ b/internal/control/lwcontrol/roster_test.go
@@ -5,13 +5,57 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwclock"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 )
 
 var rosterEntry = lwjob.RosterEntry{Incarnation: lwjob.WorkerIncarnation{Worker: "w", StartedAt: 1}, Agent: "a"}
 
+// An enrolment that got no answer may be committed while a later dismissal of the same
+// incarnation is on its way. The incarnation must get no tasks until it is enrolled again: a
+// new leader would not wait for it and start its tasks elsewhere.
+func TestLateEnrolmentIsOverruledByDismissal(t *testing.T) {
+	q := lwconfig.Queue{Key: lwconfig.QueueKey{Host: "h", Prefix: "/q/"}, Service: "s"}
+	dismissal := lwstate.ChangeRoster{Dismiss: []lwjob.WorkerIncarnation{rosterEntry.Incarnation}}
+	starts := func(t *testing.T, d *dispatcher, at time.Duration) (n int) {
+		t.Helper()
+		d.core.Advance(at, 3)
+		d.applyChange(d.node.replica.state, lwstate.ChangeRoster{Enrol: []lwjob.RosterEntry{rosterEntry}})
+		d.core.Schedule()
+		for _, o := range d.core.TakeEffects().Orders {
+			n += len(o.Orders)
+		}
+		return n
+	}
+	for name, begin := range map[string]func(d *dispatcher){
+		"that is in flight": func(d *dispatcher) { d.proposedRoster = dismissal },
+		"that is pending":   func(d *dispatcher) { d.pendingRoster = dismissal },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			state := lwstate.New()
+			state.Apply(1, 1, lwstate.Configure{Document: lwconfig.Document{Version: 1, Queues: []lwconfig.Queue{q}, Services: []lwconfig.Service{{Name: "s"}}}})
+			state.Apply(2, 2, lwstate.AcceptQueueJob{Job: lwjob.Job{Spec: lwjob.Spec{ID: "j", Queue: q.Key, Steps: []lwjob.Step{{Count: 1}}}, Queue: q, Term: 2}})
+			n := &Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}, replica: &replica{state: state, clock: lwclock.New()}}
+			d := newDispatcher(n)
+			d.beginTerm(n.replica, 2)
+			info := lwdispatch.WorkerInfo{Incarnation: rosterEntry.Incarnation, Agent: rosterEntry.Agent, Service: "s", Capacity: lwunit.Resources{Millicores: 1000, Memory: lwunit.GiB}}
+			token := d.core.Report(lwdispatch.Report{Info: info}).Token
+			d.core.Report(lwdispatch.Report{Info: info, Token: token, Complete: true, Clock: 1})
+			begin(d)
+			is.Equal(starts(t, d, time.Second), 0)
+			d.proposedRoster, d.pendingRoster = lwstate.ChangeRoster{}, lwstate.ChangeRoster{}
+			is.Equal(starts(t, d, 2*time.Second), 1)
+		})
+	}
+}
+
 // A replica may lead again while a proposal of its last term waits. It must not take an
 // incarnation off the roster that has reported to it, or another leader, since.
 func TestRosterChangesOnlyInTermInWhichItWasDecided(t *testing.T) {
