Ignore an announcement that the worker at the address denies

Cause: an agent took each announcement of a later incarnation for the end of the current one, whose runs the leader then released at once. An announcement may come from another writer: the provider's pages say that it then names no worker to use.

Before it takes an announcement of an incarnation that it does not know, the agent polls the worker in that incarnation's name. If a worker with another id or another time of start answers, the announcement is ignored; without an answer it is taken, as before.

Two subtests of TestAnnouncements failed before.

--- a/internal/worker/lwrunner/fake_test.go
+++ b/internal/worker/lwrunner/fake_test.go
@@ -31,10 +31,11 @@
 	delayed          []func()        // the delayed starts
 	noCapacity       map[string]bool // tasks that are refused with RefusedNoCapacity
 	unresponsive     bool
-	exited           bool  // its process has ended
-	pollError        error // with which polls fail at once, if set
-	lostLimitAnswers int   // CPU limits whose answer is lost
-	limits           []int // CPU limits that arrived, in percent
+	exited           bool                    // its process has ended
+	pollError        error                   // with which polls fail at once, if set
+	answersOnlyAs    lwjob.WorkerIncarnation // if set, calls for others are refused
+	lostLimitAnswers int                     // CPU limits whose answer is lost
+	limits           []int                   // CPU limits that arrived, in percent
 }
 
 func newFakeWorker() *fakeWorker {
@@ -139,6 +140,13 @@
 		w.mu.Unlock()
 		return RunLists{}, err
 	}
+	if only := w.answersOnlyAs; only != (lwjob.WorkerIncarnation{}) && only != c.Incarnation {
+		w.mu.Unlock()
+		if only.Worker == c.Incarnation.Worker {
+			return RunLists{Clock: w.clock(), StartedAt: only.StartedAt}, nil
+		}
+		return RunLists{}, &RefusedError{Reason: lwdispatch.RefusedUnhealthy, OtherIncarnation: true}
+	}
 	unresponsive := w.unresponsive
 	firstEnd := w.lastEnd
 	w.mu.Unlock()
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -137,9 +138,15 @@
 
 // Announce handles an announcement of a worker; seq rises with each
 // announcement of an incarnation. One of an older incarnation, or older than
-// the newest of this one, is ignored, and a drain is never undone.
+// the newest of this one, is ignored, and a drain is never undone. One of another
+// incarnation than the worker's at the address is ignored, too: it would end all runs of
+// that worker.
 func (r *Runner) Announce(info lwdispatch.WorkerInfo, seq int64) {
 	info.Agent, info.Seq = r.name, seq
+	if r.isDenied(info.Incarnation) {
+		r.log.Warn("announcement ignored", zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)), zap.String("reason", "another worker answers at the address"))
+		return
+	}
 	r.mu.Lock()
 	switch {
 	case !r.announced || info.Incarnation != r.info.Incarnation:
@@ -174,6 +181,22 @@
 	r.requestReport(true)
 }
 
+// isDenied reports whether another incarnation than a newly announced one answers at the
+// worker's address. Without an answer it is not known.
+func (r *Runner) isDenied(i lwjob.WorkerIncarnation) bool {
+	r.mu.Lock()
+	known := r.announced && r.info.Incarnation == i || r.replaced[i]
+	r.mu.Unlock()
+	if known {
+		return false
+	}
+	call, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
+	defer cancel()
+	lists, err := r.worker.Poll(call, Call{Incarnation: i}, 0, 0, 0)
+	refused, isRefusal := errors.AsType[*RefusedError](err)
+	return isRefusal && refused.OtherIncarnation || err == nil && lists.ofOther(i)
+}
+
 // Deregister handles a worker's deregistration: nothing more is started on it.
 func (r *Runner) Deregister(id lwunit.WorkerID) {
 	r.mu.Lock()
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -277,6 +277,23 @@
 			}
 		})
 	})
+	for name, other := range map[string]lwjob.WorkerIncarnation{
+		"of another id":              {Worker: "w2", StartedAt: 9},
+		"with a later time of start": {Worker: testIncarnation.Worker, StartedAt: 9},
+	} {
+		t.Run("one that is not of the worker at the address does not replace it: "+name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+				w.mu.Lock()
+				w.answersOnlyAs = testIncarnation
+				w.mu.Unlock()
+				r.Announce(lwdispatch.WorkerInfo{Incarnation: other, Service: "unknown"}, 1)
+				time.Sleep(time.Second)
+				if got := l.lastReport().Info.Incarnation; got != testIncarnation {
+					t.Errorf("%v is reported, want %v, which answers", got, testIncarnation)
+				}
+			})
+		})
+	}
 	t.Run("a late announcement does not undo a drain", func(t *testing.T) {
 		withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
 			r.Announce(lwdispatch.WorkerInfo{Incarnation: testIncarnation, Service: "s", Draining: true}, 5)
