Wait longer for an incarnation that may hold a lease of another clock

Cause: a call that was meant for an earlier incarnation with the same id carries the end of the lease on that one's clock, which may be far ahead of the next one's. An agent sends no lease after a failed call any more, but a restart between two calls goes unnoticed.

The lease of an incarnation whose id had another one before ends no earlier than the longest lease after its first report. A leader that begins its term later does not know of the earlier one; that is left. TestLostIncarnationMayHoldLeaseOfEarlierClock failed before.

--- a/internal/command/lwnode/hosted.go
+++ b/internal/command/lwnode/hosted.go
@@ -130,7 +130,7 @@
 	cfg, b := lwdispatch.DefaultConfig(), h.Bounds
 	cfg.Admission = h.Admission
 	cfg.LoadControl, cfg.InterruptionLoss = h.LoadControl(), b.InterruptionLoss()
-	cfg.Lease = min(cfg.Lease, b.MaxLease.Std())
+	cfg.Lease, cfg.MaxWorkerLease = min(cfg.Lease, b.MaxLease.Std()), b.MaxLease.Std()
 	if b.Evacuation > 0 {
 		// An agent that is cut off may start tasks until its lease ends. The rest of the
 		// bound is for the clocks and for a start on its way to the worker.
--- a/internal/command/lwnode/hosted_test.go
+++ b/internal/command/lwnode/hosted_test.go
@@ -17,6 +17,9 @@
 		if cfg.Lease != want {
 			t.Errorf("with a bound of %s the lease is %s, want %s", bound, cfg.Lease, want)
 		}
+		if cfg.MaxWorkerLease != 10*time.Second {
+			t.Errorf("the longest lease of a worker is %s, want the bound", cfg.MaxWorkerLease)
+		}
 		if cfg.ColdOverage != 1.5 || cfg.ColdSlack != 5 {
 			t.Errorf("the bounds of cold workers are %v and %d", cfg.ColdOverage, cfg.ColdSlack)
 		}
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -119,6 +119,7 @@
 	hasUnknownRuns     bool          // it lists runs of unknown jobs, whose resource needs are unknown
 	listsCurrent       bool          // complete lists were received under the current token
 	leaseEnd           time.Duration // when all its runs have ended unless a report renews the lease
+	minLeaseEnd        time.Duration // leaseEnd is no earlier; a call meant for an earlier incarnation with its id may have set its lease by another clock
 	reportedAt         time.Duration // when a report last renewed the lease
 	runs               map[runKey]*run
 	reserved           lwunit.Resources  // by its runs; excludes the processors of filling runs
@@ -152,6 +153,12 @@
 	leaseEnd time.Duration // when all its runs have certainly ended
 }
 
+// lastToken is the highest token of the incarnations with an id, and the last of them.
+type lastToken struct {
+	incarnation lwjob.WorkerIncarnation
+	token       Token
+}
+
 type runKey struct {
 	task lwunit.TaskID
 	run  lwjob.RunID
@@ -171,7 +178,7 @@
 	workers            map[lwjob.WorkerIncarnation]*worker
 	sortedWorkers      []*worker // by worker id
 	incarnationByAgent map[string]lwjob.WorkerIncarnation
-	lastTokens         map[lwunit.WorkerID]Token                 // highest of the incarnations that were removed
+	lastTokens         map[lwunit.WorkerID]lastToken             // of workers that were removed
 	missing            map[lwjob.WorkerIncarnation]missingWorker // roster entries whose lists have not been received
 	background         lwblame.Background
 	backgroundAt       time.Duration                             // when background was last updated
@@ -201,7 +208,7 @@
 func New(cfg Config, term uint64, now time.Duration, wallClock lwunit.Millis, in ReplicatedState) *Core {
 	c := &Core{
 		cfg: cfg, term: term, now: now, termStart: now, wallClock: wallClock, config: in.Config,
-		jobs: make(map[lwunit.JobID]*job), endedJobs: make(map[lwunit.JobID]*job), endedEarlier: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerIncarnation]*worker), incarnationByAgent: make(map[string]lwjob.WorkerIncarnation), lastTokens: make(map[lwunit.WorkerID]Token),
+		jobs: make(map[lwunit.JobID]*job), endedJobs: make(map[lwunit.JobID]*job), endedEarlier: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerIncarnation]*worker), incarnationByAgent: make(map[string]lwjob.WorkerIncarnation), lastTokens: make(map[lwunit.WorkerID]lastToken),
 		missing: make(map[lwjob.WorkerIncarnation]missingWorker), crashes: make(map[lwjob.WorkerIncarnation]*workerCrash), explained: make(map[lwjob.WorkerIncarnation]lwunit.TaskID), backgroundAt: now, runTimes: make(map[lwconfig.QueueKey]*runTimeStats), gains: make(pairGains), meanBaseTails: make(map[string]float64), fillingDemand: make(map[string]float64), meanJobWork: make(map[lwconfig.QueueKey]float64), fillingPools: make(map[lwunit.ServiceName]*fillingPool),
 	}
 	c.gains.restore(in.Interference, now)
@@ -223,8 +230,16 @@
 
 // maxLeaseTime returns the time after a report by which all runs of the worker
 // have ended.
-func (c *Core) maxLeaseTime() time.Duration {
-	return time.Duration(float64(c.cfg.Lease)*(1+c.cfg.MaxClockDrift)) + c.cfg.LeaseSlack
+func (c *Core) maxLeaseTime() time.Duration { return c.timeOf(c.cfg.Lease) }
+
+// timeOf returns the longest time that a lease takes on a worker's clock, with slack.
+func (c *Core) timeOf(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*(1+c.cfg.MaxClockDrift)) + c.cfg.LeaseSlack
+}
+
+// renewLease notes that a lease was granted to a worker.
+func (c *Core) renewLease(w *worker) {
+	w.leaseEnd = max(w.minLeaseEnd, c.now+c.maxLeaseTime())
 }
 
 // Advance sets the current time.
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -37,7 +37,11 @@
 			c.removeWorker(other, "a newer incarnation has the same id")
 		}
 	}
-	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker]) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now, leaseEnd: c.now + c.maxLeaseTime()}
+	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now}
+	if last, ok := c.lastTokens[incarnation.Worker]; ok && last.incarnation != incarnation {
+		w.minLeaseEnd = c.now + c.timeOf(c.cfg.MaxWorkerLease)
+	}
+	c.renewLease(w)
 	c.workers[incarnation] = w
 	for _, r := range unconfirmed {
 		r.worker, r.fromEarlier = w, true
@@ -214,7 +218,7 @@
 	}
 	c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: reason, Age: c.now - w.reportedAt, LeaseLeft: max(0, w.leaseEnd-c.now), Released: len(w.runs)})
 	delete(c.workers, incarnation)
-	c.lastTokens[incarnation.Worker] = max(c.lastTokens[incarnation.Worker], w.token)
+	c.lastTokens[incarnation.Worker] = lastToken{incarnation, max(c.lastTokens[incarnation.Worker].token, w.token)}
 	delete(c.missing, incarnation)
 	if c.incarnationByAgent[w.info.Agent] == incarnation {
 		delete(c.incarnationByAgent, w.info.Agent)
--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -111,3 +111,38 @@
 		t.Errorf("ordered %v, want none", orders)
 	}
 }
+
+// A call that was meant for an earlier incarnation carries a lease on its clock, which the next
+// one with the same id takes for the longest that it accepts. If the next one is lost soon
+// after, its tasks must not be started elsewhere before that lease has ended.
+func TestLostIncarnationMayHoldLeaseOfEarlierClock(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		next lwjob.WorkerIncarnation
+		held time.Duration
+	}{
+		{"with the same id", lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 2}, 10 * time.Second},
+		{"with another id", lwjob.WorkerIncarnation{Worker: "w1b", StartedAt: 2}, 4 * time.Second},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.config.MaxWorkerLease = 10 * time.Second
+			f.startTerm(testTerm)
+			f.join(workerInfo("w1", 4))
+			next := f.infos["w1"]
+			next.Incarnation = x.next
+			f.join(next)
+			f.submit("j", tasks(1, 1, time.Minute))
+			f.startAll(x.next.Worker)
+			f.join(workerInfo("w2", 4))
+			lostFor := time.Duration(0)
+			for ; len(f.takeStarts("w2")) == 0 && lostFor < 20*time.Second; lostFor += 100 * time.Millisecond {
+				f.advance(100 * time.Millisecond)
+				f.report("w2")
+			}
+			if lostFor < x.held || lostFor > x.held+time.Second {
+				t.Errorf("the task is started elsewhere after %s, want a little more than %s", lostFor, x.held)
+			}
+		})
+	}
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -34,7 +34,7 @@
 		return Grant{Token: w.token, Cursor: w.cursor, Evacuated: w.toldEvacuated, CrashesRecorded: recorded}
 	}
 	w.reportedAt = c.now
-	w.leaseEnd = c.now + c.maxLeaseTime()
+	c.renewLease(w)
 	return Grant{Token: w.token, Lease: c.cfg.Lease, Cursor: w.cursor, FastReports: w.hasServingAndFilling(), Evacuated: w.toldEvacuated, CrashesRecorded: recorded}
 }
 
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -22,6 +22,7 @@
 // Config holds the settings of a deployment.
 type Config struct {
 	Lease             time.Duration // granted to a worker with each report
+	MaxWorkerLease    time.Duration // longest lease that a worker takes; 0 is Lease
 	MaxClockDrift     float64       // fraction by which a worker's clock may run slow
 	LeaseSlack        time.Duration // added to the lease before a worker that does not report is removed
 	ResendAfter       time.Duration // a start or stop that no report confirms is ordered again after this time
