--- a/internal/worker/lwrunner/schedule_leader_test.go
+++ b/internal/worker/lwrunner/schedule_leader_test.go
@@ -51,11 +51,11 @@
 	from := a.currentSession()
 	result := make(chan answer, 1)
 	there, back := s.crossing("report", a.m.name), s.crossing("reply", a.m.name)
-	if there.arrives {
+	if there.arrives && !s.isCutOff(a.m) {
 		s.after(there.after, func() {
 			var x answer
 			x.reply, x.err = s.currentLeader().report(from, m)
-			if back.arrives {
+			if back.arrives && !s.isCutOff(a.m) {
 				s.after(back.after, func() { result <- x })
 			}
 		})
@@ -310,7 +310,7 @@
 		m.Orders = append(m.Orders, lwlink.EncodeOrder(x))
 	}
 	way := l.s.crossing("orders", string(o.Incarnation.Worker))
-	if !way.arrives {
+	if !way.arrives || l.s.isCutOff(c.a.m) {
 		return
 	}
 	l.s.after(way.after, func() {
@@ -342,3 +342,10 @@
 	l.wake()
 	return lwlink.ReportReply{Token: g.Token, Lease: lwunit.Duration(g.Lease), Cursor: g.Cursor, FastReports: g.FastReports, Evacuated: g.Evacuated, CrashesRecorded: g.CrashesRecorded}, nil
 }
+
+// isCutOff reports whether the agent of a machine is cut off from the leader.
+func (s *schedule) isCutOff(m *machine) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return m.cutOff
+}
--- a/internal/worker/lwrunner/schedule_test.go
+++ b/internal/worker/lwrunner/schedule_test.go
@@ -54,11 +54,12 @@
 	cancellations  eventKind = "cancellations"
 	leaderChanges  eventKind = "leader-changes"
 	lateCommits    eventKind = "late-commits"
+	cutOffs        eventKind = "cut-offs" // of agents from the leader, for up to 9 s
 )
 
 var allKinds = []eventKind{
 	lateMessages, lostMessages, reconnections, agentRestarts, refusals, refusedConns, lateCalls, slowAnswers, crashes, sameID, lateHeartbeats,
-	drains, capacity, cancellations, leaderChanges, lateCommits,
+	drains, capacity, cancellations, leaderChanges, lateCommits, cutOffs,
 }
 
 const (
@@ -326,6 +327,8 @@
 			s.during(between(rng, 50*time.Millisecond, 3*time.Second), func(on bool) { m.refusesConns = on })
 		case lateCalls:
 			s.during(between(rng, 50*time.Millisecond, 3*time.Second), func(on bool) { m.lateCalls = on })
+		case cutOffs:
+			s.during(between(rng, 500*time.Millisecond, 9*time.Second), func(on bool) { m.cutOff = on })
 		case slowAnswers:
 			s.during(between(rng, 50*time.Millisecond, 3*time.Second), func(on bool) { m.slowAnswers = on })
 		case crashes, sameID:
--- a/internal/worker/lwrunner/schedule_worker_test.go
+++ b/internal/worker/lwrunner/schedule_worker_test.go
@@ -36,6 +36,7 @@
 	refusal      lwdispatch.RefusalReason
 	lateCalls    bool
 	slowAnswers  bool
+	cutOff       bool // its agent from the leader
 	millicores   lwunit.Millicores
 }
 
