--- a/internal/worker/lwrunner/schedule_test.go
+++ b/internal/worker/lwrunner/schedule_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,6 +66,7 @@
 const (
 	scheduleLength = 25 * time.Second
 	numMachines    = 3
+	calmTime       = 40 * time.Second // at the end, in which all tasks must get on
 	submitInterval = 400 * time.Millisecond
 	fullMillicores = 4000
 )
@@ -91,6 +93,8 @@
 	drawMu sync.Mutex
 	draws  map[string]uint64
 
+	calm atomic.Bool // no more events begin, and no more jobs are submitted
+
 	traceMu sync.Mutex
 	trace   []string
 }
@@ -165,7 +169,7 @@
 
 func runName(t lwunit.TaskID, run lwjob.RunID) string { return fmt.Sprintf("%s/%d", t, run) }
 
-func (s *schedule) on(k eventKind) bool { return s.kinds[k] }
+func (s *schedule) on(k eventKind) bool { return s.kinds[k] && !s.calm.Load() }
 
 func (s *schedule) now() time.Duration { return time.Since(s.began) + time.Second }
 
@@ -273,7 +277,7 @@
 	}
 	for n := 0; ; n++ {
 		rng := s.rng("submit")
-		if !sleep(s.ctx, between(rng, submitInterval/2, submitInterval*3/2)) {
+		if !sleep(s.ctx, between(rng, submitInterval/2, submitInterval*3/2)) || s.calm.Load() {
 			return
 		}
 		id := lwunit.JobID(fmt.Sprintf("j%d", n))
@@ -305,7 +309,7 @@
 func (s *schedule) disturb(m *machine, k eventKind) {
 	for {
 		rng := s.rng("event", m.name, string(k))
-		if !sleep(s.ctx, between(rng, 200*time.Millisecond, 8*time.Second)) {
+		if !sleep(s.ctx, between(rng, 200*time.Millisecond, 8*time.Second)) || s.calm.Load() {
 			return
 		}
 		s.logf("%s: %s", m.name, k)
@@ -410,7 +414,7 @@
 func (s *schedule) changeLeaders() {
 	for term := uint64(4); ; term++ {
 		rng := s.rng("event leader")
-		if !sleep(s.ctx, between(rng, time.Second, 8*time.Second)) {
+		if !sleep(s.ctx, between(rng, time.Second, 8*time.Second)) || s.calm.Load() {
 			return
 		}
 		old := s.currentLeader()
@@ -426,6 +430,37 @@
 	}
 }
 
+// checkProgress checks that no job that can end is left, and that the tasks of the others run.
+func (s *schedule) checkProgress() {
+	l := s.currentLeader()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running := make(map[lwunit.TaskID]bool)
+	for _, m := range s.machines {
+		if m.worker != nil {
+			m.worker.settle()
+			for key := range m.worker.running {
+				running[key.task] = true
+			}
+		}
+	}
+	free := len(s.machines)*fullMillicores - 1000*len(running)
+	s.table.EachJob(func(j *lwjob.Job) {
+		if j.State.Final() {
+			return
+		}
+		for i := range j.Spec.Steps[0].Count {
+			key := lwjob.TaskKey{Index: i}
+			name := lwjob.TaskName(j.Spec.ID, key)
+			if !j.Task(key).Done && !running[name] && free >= 2000 {
+				s.fail(name, "%s is not done and not running after %v without events, %d free", name, calmTime, free)
+			}
+		}
+	})
+}
+
 // run plays the schedule until it ends or fails.
 func (s *schedule) run(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -464,6 +499,11 @@
 			break
 		}
 	}
+	if len(s.failures) == 0 {
+		s.calm.Store(true)
+		time.Sleep(calmTime)
+		s.checkProgress()
+	}
 	cancel()
 	time.Sleep(time.Second)
 	synctest.Wait()
