--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -209,3 +209,13 @@
 		t.Errorf("started %v, want %v", names, want)
 	}
 }
+
+// restart replaces the incarnation of a worker by the next one with the same id, and reports it.
+func (f *fixture) restart(id string) {
+	info := f.infos[workerInfo(id, 4).Incarnation.Worker]
+	info.Incarnation.StartedAt++
+	f.infos[info.Incarnation.Worker] = info
+	f.core.Advance(f.now, f.wallClock)
+	f.core.Report(Report{Info: info, KnowsCrashes: true})
+	f.step()
+}
