Await the next incarnation of a worker under a new leader, too

And an enrolment that was committed late counted although the dismissal after it was committed, if the answer to that was handled first.

Now a new leader waits for the lists of the new incarnation as for those of the old one, looks for a long-running task by the worker's id, counts the longest lease, and takes a committed dismissal as the last word.

Beside it: a gang is stopped when the start of a member on an earlier incarnation is dropped; a worker that does not answer its agent is not added again and again after it was given up; a report of ends keeps an older list that it has overtaken from being taken for newer; and an older agent's "gone", which may rest on refused connections, is no longer read.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -197,6 +197,9 @@
 				d.core.RosterRecorded(w.Incarnation)
 			}
 		}
+		for _, incarnation := range c.Dismiss {
+			d.core.DismissalRecorded(incarnation)
+		}
 	case lwstate.SetEvacuation:
 		d.applyEvacuation(s, c.Order.Domain)
 	}
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -126,7 +126,8 @@
 	fillingDeclared    lwunit.Millicores // declared processors of its filling runs
 	overcommit         float64           // millicores that filling work may use beyond the unreserved ones
 	overcommitMeasured bool              // overcommit has been measured
-	listsClock         lwunit.Millis     // worker clock of the newest lists that were taken in
+	listsClock         lwunit.Millis     // worker clock of the newest lists of runs that were taken in
+	newestClock        lwunit.Millis     // worker clock of the newest report of runs or ends
 	highestEnd         int64             // highest end number that was taken in
 	cursor             int64             // highest end number that is recorded
 	health             health
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -19,6 +19,7 @@
 		c.incarnationByAgent[info.Agent] = incarnation
 		return w
 	}
+	awaited, hadID := c.awaitedBefore(incarnation)
 	var unconfirmed []*run
 	if old, ok := c.incarnationByAgent[info.Agent]; ok {
 		if old.StartedAt > incarnation.StartedAt {
@@ -38,10 +39,13 @@
 		}
 	}
 	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now}
-	if last, ok := c.lastTokens[incarnation.Worker]; ok && last.incarnation != incarnation {
+	if hadID {
 		w.minLeaseEnd = c.now + c.timeOf(c.cfg.MaxWorkerLease)
 	}
 	c.renewLease(w)
+	if awaited {
+		c.missing[incarnation] = missingWorker{info.Agent, w.leaseEnd}
+	}
 	c.workers[incarnation] = w
 	for _, r := range unconfirmed {
 		r.worker, r.fromEarlier = w, true
@@ -62,6 +66,21 @@
 	return w
 }
 
+// awaitedBefore reports whether an incarnation has the id of an earlier one whose lists this
+// leader has not received, so that starts of an earlier term may be carried out by the new
+// one, and whether any earlier one with its id is known.
+func (c *Core) awaitedBefore(incarnation lwjob.WorkerIncarnation) (awaited, known bool) {
+	for earlier := range c.missing {
+		awaited = awaited || earlier.Worker == incarnation.Worker && earlier != incarnation
+	}
+	last, ok := c.lastTokens[incarnation.Worker]
+	known = awaited || ok && last.incarnation != incarnation
+	for earlier := range c.workers {
+		known = known || earlier.Worker == incarnation.Worker
+	}
+	return awaited, known
+}
+
 // takeUnconfirmed takes from an incarnation the runs that may begin on the next one. Calls
 // name a worker by its id, so a start of which no list has shown a run may be carried out by
 // the next incarnation with the same id, until that one has received its higher token.
@@ -89,15 +108,11 @@
 }
 
 // dismissReplaced dismisses missing incarnations that a newer one with the same
-// agent has replaced. If it has the same id, starts of an earlier term may be carried out by
-// it until its lists are known.
+// agent has replaced.
 func (c *Core) dismissReplaced(info WorkerInfo) {
 	for incarnation, m := range c.missing {
 		if m.agent == info.Agent && incarnation != info.Incarnation && incarnation.StartedAt <= info.Incarnation.StartedAt {
 			delete(c.missing, incarnation)
-			if incarnation.Worker == info.Incarnation.Worker {
-				c.missing[info.Incarnation] = missingWorker{info.Agent, c.now + c.maxLeaseTime()}
-			}
 			c.effects.Dismiss = append(c.effects.Dismiss, incarnation)
 			c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: "a newer life has begun on its machine"})
 		}
@@ -123,6 +138,14 @@
 	}
 }
 
+// DismissalRecorded notes that a worker incarnation is off the committed roster. One that
+// has returned gets no tasks until it is on it again.
+func (c *Core) DismissalRecorded(incarnation lwjob.WorkerIncarnation) {
+	if w := c.workers[incarnation]; w != nil {
+		w.enrolled = false
+	}
+}
+
 // updateInfo replaces the description of a worker, unless it is older than the one at
 // hand. A worker that drains stays draining.
 func (c *Core) updateInfo(w *worker, info WorkerInfo) {
--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -146,3 +146,121 @@
 		})
 	}
 }
+
+// Guards against a worker that never answers again and is taken on and given up in turn, each
+// time with two changes of the roster.
+func TestDeadWorkerIsEnrolledOnce(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	enrolled := 0
+	for range 60 * 10 {
+		f.advance(100 * time.Millisecond)
+		f.core.Report(Report{Info: f.infos["w1"], Unresponsive: true, KnowsCrashes: true})
+		f.core.Schedule()
+		enrolled += len(f.core.effects.Enrol)
+		f.step()
+	}
+	if enrolled > 0 {
+		t.Errorf("the worker is enrolled %d times in a minute, though it does not answer", enrolled)
+	}
+}
+
+// Guards against a gang whose members wait for one that has not begun on the next incarnation.
+func TestGangOfUnconfirmedStartIsStopped(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 1))
+	f.join(workerInfo("w2", 1))
+	step := tasks(2, 1, testEstimate)
+	step.Gang = true
+	f.submit("j", step)
+	if n := len(f.takeStarts("w1")); n != 1 {
+		t.Fatalf("%d starts on w1, want 1", n)
+	}
+	f.startAll("w2")
+	f.restart("w1")
+	f.report("w1")
+	for _, o := range f.pendingOrders["w2"] {
+		if _, ok := o.(StopRun); ok {
+			return
+		}
+	}
+	t.Errorf("the other member is not stopped: orders %v", f.pendingOrders["w2"])
+}
+
+// Guards against a new leader that looks for a long-running task only at the incarnation on which
+// it was placed, while it runs on the next one with the same id.
+func TestLongRunningTaskOnNextIncarnationIsAwaited(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	step := tasks(1, 1, testEstimate)
+	step.LongRunning = true
+	f.submit("j", step)
+	list := f.takeStarts("w1")
+	expectStarts(t, list, "j.0.0.0/1")
+	f.join(workerInfo("w2", 4))
+	f.restart("w1") // it carries the start out
+	f.lists["w1"] = []RunStatus{{Task: list[0].Task, Run: list[0].Run}}
+	f.report("w1")
+	expectStarts(t, append(f.takeStarts("w1"), f.takeStarts("w2")...))
+	f.startTerm(testTerm + 1)
+	f.join(f.infos["w2"])
+	f.advance(reportGracePeriod + 1)
+	expectStarts(t, f.takeStarts("w2"))
+}
+
+// Guards against a new leader that counts the usual lease for the next incarnation of a worker on
+// its roster, which may hold the longest one by a start of the earlier leader.
+func TestNextIncarnationOfMissingWorkerMayHoldLongestLease(t *testing.T) {
+	f := newFixture(t)
+	f.config.MaxWorkerLease = 10 * time.Second
+	f.startTerm(testTerm)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, time.Minute))
+	expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+	f.join(workerInfo("w2", 4))
+	f.startTerm(testTerm + 1)
+	f.join(f.infos["w2"])
+	f.restart("w1") // it has carried the start out, and is lost before it reports its lists
+	lostFor := time.Duration(0)
+	for ; len(f.takeStarts("w2")) == 0 && lostFor < 20*time.Second; lostFor += 100 * time.Millisecond {
+		f.advance(100 * time.Millisecond)
+		f.report("w2")
+	}
+	if lostFor < 10*time.Second {
+		t.Errorf("the task is started elsewhere after %s, want at least 10s", lostFor)
+	}
+}
+
+// Guards against a start of an earlier term that begins on the next incarnation with the same id
+// after the earlier one had reported to the new leader.
+func TestOldStartMayBeginOnNextIncarnationOfReportedWorker(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, testEstimate))
+	expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+	f.join(workerInfo("w2", 4))
+	f.startTerm(testTerm + 1)
+	f.join(f.infos["w2"])
+	f.core.Report(Report{Info: f.infos["w1"], Unresponsive: true}) // no lists under the new token yet
+	f.step()
+	expectStarts(t, f.takeStarts("w2"))
+	f.restart("w1")
+	expectStarts(t, f.takeStarts("w2"))
+}
+
+// A report without lists of runs may overtake one with them. A run that has ended by it must not
+// be taken for one in progress: it would be stopped for ever, and its task not start again.
+func TestEndedRunIsNotAdoptedFromOvertakenReport(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, testEstimate))
+	list := f.takeStarts("w1")
+	token, _ := f.core.TokenAndCursor(f.infos["w1"].Incarnation)
+	ended := NumberedEnd{1, lwjob.End{Task: list[0].Task, Run: list[0].Run, How: lwjob.EndFailed}}
+	f.core.Report(Report{Info: f.infos["w1"], Token: token, Clock: f.clock + 2, Ends: []NumberedEnd{ended}})
+	f.core.Report(Report{Info: f.infos["w1"], Token: token, Clock: f.clock + 1, Complete: true, Running: []RunStatus{{Task: list[0].Task, Run: list[0].Run}}})
+	f.step()
+	if runs := f.core.workers[f.infos["w1"].Incarnation].runs; len(runs) != 1 || runs[runKey{list[0].Task, list[0].Run + 1}] == nil {
+		t.Errorf("the runs %v are counted, want the second one only", runs)
+	}
+}
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -53,8 +53,8 @@
 
 // mayRunOnMissingWorker reports whether a task of a job of an earlier term may still
 // run on a worker that has not reported. A long-running task whose placements are
-// recorded can only run on the worker that was recorded last; it waits for that
-// worker and, while any worker has not reported, for reportGracePeriod.
+// recorded can only run on the worker that was recorded last; it waits for the incarnations
+// of that worker and, while any worker has not reported, for reportGracePeriod.
 func (c *Core) mayRunOnMissingWorker(t *task) bool {
 	j := t.step.job
 	if j.term >= c.term || len(c.missing) == 0 {
@@ -63,8 +63,18 @@
 	if !j.placementsRecorded || !t.step.spec.LongRunning || c.now-c.termStart < reportGracePeriod {
 		return true
 	}
-	_, missing := c.missing[t.recordedPlacement]
-	return missing
+	return c.missesID(t.recordedPlacement.Worker)
+}
+
+// missesID reports whether an incarnation with an id has not reported. A start may have been
+// carried out by a later incarnation than the one on which the task was placed.
+func (c *Core) missesID(id lwunit.WorkerID) bool {
+	for incarnation := range c.missing {
+		if incarnation.Worker == id {
+			return true
+		}
+	}
+	return false
 }
 
 // placeStep starts those tasks of a step that need a run and have room.
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -19,6 +19,9 @@
 		c.processEnded(m.Info.Incarnation)
 		return Grant{CrashesRecorded: recorded}
 	}
+	if m.Unresponsive && c.workers[m.Info.Incarnation] == nil {
+		return Grant{CrashesRecorded: recorded} // it is added once it answers its agent
+	}
 	w := c.findOrAddWorker(m.Info, m.KnowsCrashes)
 	if w == nil {
 		return Grant{CrashesRecorded: recorded}
@@ -52,14 +55,16 @@
 // the current token: the worker no longer accepts starts of an earlier leader, so
 // the lists show all runs that such a leader has started.
 func (c *Core) handleLists(w *worker, m Report) {
+	older := m.Clock < w.newestClock // its runs may have ended by a report that has overtaken it
+	w.newestClock = max(w.newestClock, m.Clock)
 	for _, e := range m.Ends {
 		c.handleEnd(w, e)
 	}
 	for _, f := range m.Refused {
 		c.handleRefusal(w, f)
 	}
-	if !m.Complete || m.Clock < w.listsClock {
-		return // incomplete, or older than lists that were handled
+	if !m.Complete || older {
+		return
 	}
 	if m.Clock > w.listsClock || !w.listsCurrent { // else they are handled, or may be older
 		w.listsClock = m.Clock
@@ -146,6 +151,9 @@
 			const reason = "it was ordered from an earlier incarnation and has not begun"
 			c.releaseRun(r, reason)
 			c.logDecision(Decision{Kind: DecidedLost, Job: r.task.step.job.spec.ID, Task: r.task.name, Run: r.id, Worker: w.info.Incarnation.Worker, Reason: reason})
+			if r.task.step.spec.Gang {
+				c.stopGang(r.task.step)
+			}
 		}
 	}
 }
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -107,11 +107,11 @@
 // Report is the report of an agent to the leader about its worker.
 type Report struct {
 	Info         WorkerInfo      `json:"info"`
-	Token        Token           `json:"token"`            // under which the agent read the lists
-	Unresponsive bool            `json:"silent,omitempty"` // the worker does not answer its agent; its lease is not renewed
-	ProcessEnded bool            `json:"gone,omitempty"`   // the process of the worker has ended for good, and all its runs with it
-	Complete     bool            `json:"full,omitempty"`   // Running is complete
-	Clock        lwunit.Millis   `json:"clock,omitempty"`  // clock of the worker when it made the lists; orders reports that arrive out of order
+	Token        Token           `json:"token"`                   // under which the agent read the lists
+	Unresponsive bool            `json:"silent,omitempty"`        // the worker does not answer its agent; its lease is not renewed
+	ProcessEnded bool            `json:"process_ended,omitempty"` // the process of the worker has ended for good, and all its runs with it
+	Complete     bool            `json:"full,omitempty"`          // Running is complete
+	Clock        lwunit.Millis   `json:"clock,omitempty"`         // clock of the worker when it made the lists; orders reports that arrive out of order; an older agent states it with complete lists only
 	Running      []RunStatus     `json:"running,omitempty"`
 	Ends         []NumberedEnd   `json:"ends,omitempty"`
 	Refused      []Refusal       `json:"refused,omitempty"`
