Report no fenced copy, ask a fenced worker again, and count later crashes

A repeated start that the worker fenced was reported as refused; a leader of the version before releases the run then, which may be in progress (TWICE). It is reported no more. The next incarnation took the token of the earlier one over; an older leader gives it a lower one again, and it got no lease. It does so no more. An announcement under the worker's own id was not denied, since the worker fenced the question, which has no token; it is asked again with one. A poll that was sent before a connection broke no longer shows that the same incarnation answers. After refused connections that were none, a later crash was not reported; it is now.

Beside it: no run is taken for blocked while the worker has more ends than it lists, and the next incarnation on a VM whose clock has stepped back is taken once another one than the current has answered.

--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -81,7 +81,7 @@
 		r.silent = true
 	case r.brokenAt == 0:
 		r.brokenAt = r.clock.Now()
-		r.unverified = true
+		r.unverified, r.callFailedAt = true, r.brokenAt
 	}
 }
 
--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 )
 
@@ -195,3 +199,115 @@
 		expectRefusals(t, l, task, lwdispatch.RefusedStopped)
 	})
 }
+
+// Guards against a start that is sent to the next incarnation with the same id because an answer
+// of the ended one arrives after a call has found the connection broken.
+func TestEarlierAnswerDoesNotShowThatWorkerIsTheSame(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+		c := Call{testIncarnation, testToken}
+		sentAt := r.clock.Now()
+		time.Sleep(time.Millisecond)
+		lists := RunLists{Clock: w.clock() + 1, StartedAt: testIncarnation.StartedAt}
+		time.Sleep(time.Millisecond)
+		r.noteAnswer(c, errors.New("connection reset"))
+		if _, ok := r.leaseForStart(c); ok {
+			t.Fatal("a start is sent after a broken connection")
+		}
+		r.applyLists(c, lists, sentAt)
+		if _, ok := r.leaseForStart(c); ok {
+			t.Error("a start is sent after an answer to a poll that was sent before the connection broke")
+		}
+	})
+}
+
+// Guards against a leader of an older version that releases a run when its start is reported as
+// fenced: the run may have begun by an earlier copy of the order.
+func TestFencedCopyOfOrderIsNotReportedAsRefused(t *testing.T) {
+	const task = "j.0.0.0"
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		sendOrders(t.Context(), r, testToken, startOrder(task, 1))
+		time.Sleep(time.Millisecond) // carried out, and not listed yet
+		w.mu.Lock()
+		w.token++ // by a poll under the next token
+		w.mu.Unlock()
+		repeated := startOrder(task, 1)
+		repeated.Repeated = true
+		sendOrders(t.Context(), r, testToken, repeated)
+		time.Sleep(time.Second)
+		expectNotRefusedAndStarted(t, w, l, task)
+	})
+}
+
+// fencingWorker refuses a poll with a lower token before it says who it is, as the provider's
+// workers may.
+type fencingWorker struct{ *fakeWorker }
+
+func (w fencingWorker) Poll(ctx context.Context, c Call, until LeaseEnd, cursor int64, wait time.Duration) (RunLists, error) {
+	w.mu.Lock()
+	fenced := c.Token < w.token
+	w.mu.Unlock()
+	if fenced {
+		return RunLists{}, &RefusedError{Reason: lwdispatch.RefusedFence}
+	}
+	return w.fakeWorker.Poll(ctx, c, until, cursor, wait)
+}
+
+// Guards against an announcement of a later incarnation that is taken although the worker at the
+// address has answered: it fences the poll that asks it, which has no token.
+func TestFencedWorkerDeniesAnnouncement(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		w.mu.Lock()
+		w.answersOnlyAs = testIncarnation
+		w.mu.Unlock()
+		r.mu.Lock()
+		r.worker = fencingWorker{w}
+		r.mu.Unlock()
+		other := lwjob.WorkerIncarnation{Worker: testIncarnation.Worker, StartedAt: 9}
+		r.Announce(lwdispatch.WorkerInfo{Incarnation: other, Service: "unknown"}, 1)
+		time.Sleep(time.Second)
+		if got := l.lastReport().Info.Incarnation; got != testIncarnation {
+			t.Errorf("%v is reported, want %v, which answers", got, testIncarnation)
+		}
+	})
+}
+
+// Guards against a worker that an older leader can no longer use: it gives the next incarnation
+// with the same id the first token of its term again, though it has raised that of the former.
+func TestNextIncarnationTakesTokenOfOlderLeader(t *testing.T) {
+	const task = "j.0.0.0"
+	withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
+		l.mu.Lock()
+		l.token = testToken + 1 // the worker was given up and has returned
+		l.mu.Unlock()
+		time.Sleep(time.Second)
+		next := lwjob.WorkerIncarnation{Worker: testIncarnation.Worker, StartedAt: testIncarnation.StartedAt + 1}
+		r.mu.Lock()
+		r.worker = newFakeWorker()
+		r.mu.Unlock()
+		l.mu.Lock()
+		l.token = testToken
+		l.mu.Unlock()
+		r.Announce(lwdispatch.WorkerInfo{Incarnation: next, Service: "s"}, 1)
+		time.Sleep(10 * time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.leaseDeadline == 0 {
+			t.Error("the next incarnation has got no lease in 10 s")
+		}
+	})
+}
+
+// A worker lists a limited number of ends at a time. A run that is in neither list may have
+// ended as done, and must not be reported as refused: its task would run again.
+func TestRunIsNotBlockedWhileMoreEndsFollow(t *testing.T) {
+	r := New("agent-1", newFakeWorker(), &fakeLeader{}, zap.NewNop())
+	r.stopAnsweredAt[runKey{"j.0.0.0", 1}] = 0
+	r.lists.MoreEnds = true
+	if r.findBlocked(1) || len(r.refusals) > 0 {
+		t.Error("a run is reported as refused that may be among further ends")
+	}
+	r.lists.MoreEnds = false
+	if !r.findBlocked(1) || len(r.refusals) != 1 {
+		t.Error("a run that is in neither list is not reported as refused")
+	}
+}
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -224,6 +224,8 @@
 	current := r.info.Incarnation == c.Incarnation
 	switch {
 	case !current:
+	case reason == lwdispatch.RefusedFence && mayHaveStarted:
+		// A leader of an older version would release the run.
 	case reason == lwdispatch.RefusedFence:
 		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: o.Task, Run: o.Run, Reason: reason})
 	case !mayHaveStarted && reason != lwdispatch.RefusedSuperseded:
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -105,7 +105,9 @@
 		r.fullReportDue = true
 	}
 	r.failedPolls++
-	r.unverified = r.unverified || r.info.Incarnation == c.Incarnation
+	if r.info.Incarnation == c.Incarnation {
+		r.unverified, r.callFailedAt = true, r.clock.Now()
+	}
 	nowUnresponsive := r.failedPolls == unresponsiveAfterPolls
 	if _, connRefused := errors.AsType[*ConnRefusedError](err); connRefused && r.info.Incarnation == c.Incarnation {
 		r.refusedConns++
@@ -159,7 +161,8 @@
 		return false
 	}
 	wasUnresponsive, wasGone := r.failedPolls >= unresponsiveAfterPolls, r.refusedConns >= goneAfterRefusals
-	r.failedPolls, r.refusedConns, r.unverified = 0, 0, false
+	r.failedPolls, r.refusedConns, r.endNoted = 0, 0, false
+	r.unverified = r.unverified && sentAt < r.callFailedAt
 	for _, e := range lists.Ends {
 		key := runKey{e.End.Task, e.End.Run}
 		if !r.knownEnds[key] {
@@ -194,7 +197,7 @@
 // may have been recorded and forgotten, if the leader has taken an earlier report for a later
 // one. It reports whether there was one. The caller holds mu.
 func (r *Runner) findBlocked(sentAt time.Duration) bool {
-	if len(r.stopAnsweredAt) == 0 {
+	if len(r.stopAnsweredAt) == 0 || r.lists.MoreEnds {
 		return false
 	}
 	running, ended := make(map[runKey]bool, len(r.lists.Running)), make(map[runKey]bool, len(r.lists.Ends))
--- a/internal/worker/lwrunner/port.go
+++ b/internal/worker/lwrunner/port.go
@@ -32,6 +32,7 @@
 	StartedAt lwunit.Millis // start of the incarnation that answered; 0 if the answer does not state it
 	Running   []lwdispatch.RunStatus
 	Ends      []lwdispatch.NumberedEnd
+	MoreEnds  bool // not all ends are listed
 }
 
 // ofOther reports whether the lists are those of another incarnation of the worker.
--- a/internal/worker/lwrunner/report.go
+++ b/internal/worker/lwrunner/report.go
@@ -117,8 +117,9 @@
 		m.Complete = r.fullReportDue
 		m.ListsAge = lwunit.Duration(r.clock.Now() - r.listsRequestedAt)
 	}
+	m.Clock = r.lists.Clock
 	if m.Complete {
-		m.Running, m.Clock = r.lists.Running, r.lists.Clock
+		m.Running = r.lists.Running
 	}
 	for _, e := range r.lists.Ends {
 		if m.Complete || e.Number > r.reportedEnd {
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -82,6 +82,7 @@
 	replacedByOtherID bool                                // one with another id, which carries out no call that is meant for this one
 	endNoted          bool                                // noteCrash was called
 	unverified        bool                                // a call has failed since the worker last answered a poll, so another incarnation with its id may answer the next one
+	callFailedAt      time.Duration                       // when unverified was last set
 	held              map[runKey]heldRun                  // runs that the worker may hold
 	crashes           []lwdispatch.Crash                  // of all incarnations, that no leader has recorded
 	refusedConns      int                                 // polls in a row whose connection was refused
@@ -118,7 +119,7 @@
 	r.knownEnds = make(map[runKey]bool)
 	r.held = make(map[runKey]heldRun)
 	r.brokenAt, r.answeredAt, r.silent, r.unverified = 0, 0, false, false
-	r.ended, r.replacedByOtherID, r.endNoted = false, false, false
+	r.ended, r.replacedByOtherID, r.endNoted, r.callFailedAt = false, false, false, 0
 	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.refusalReasons = make(map[runKey]lwdispatch.RefusalReason)
@@ -150,7 +151,7 @@
 	r.mu.Lock()
 	switch {
 	case !r.announced || info.Incarnation != r.info.Incarnation:
-		if r.replaced[info.Incarnation] || (r.announced && info.Incarnation.StartedAt < r.info.Incarnation.StartedAt) {
+		if r.replaced[info.Incarnation] || (r.announced && !r.ended && info.Incarnation.StartedAt < r.info.Incarnation.StartedAt) {
 			r.mu.Unlock()
 			return
 		}
@@ -160,11 +161,7 @@
 				r.noteCrash("a newer incarnation announced itself")
 			}
 		}
-		token := r.token
 		r.resetIncarnation()
-		if info.Incarnation.Worker == r.info.Incarnation.Worker {
-			r.token = token // fences calls to earlier incarnations with this id, at once
-		}
 		r.announced, r.info, r.announceSeq = true, info, seq
 		r.log.Info("worker announced", zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)))
 	case seq <= r.announceSeq:
@@ -186,17 +183,27 @@
 func (r *Runner) isDenied(i lwjob.WorkerIncarnation) bool {
 	r.mu.Lock()
 	known := r.announced && r.info.Incarnation == i || r.replaced[i]
+	token := r.token
 	r.mu.Unlock()
 	if known {
 		return false
 	}
-	call, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
-	defer cancel()
-	lists, err := r.worker.Poll(call, Call{Incarnation: i}, 0, 0, 0)
+	lists, err := r.probe(Call{Incarnation: i})
 	refused, isRefusal := errors.AsType[*RefusedError](err)
+	if isRefusal && refused.Reason == lwdispatch.RefusedFence && token != 0 {
+		lists, err = r.probe(Call{i, token}) // it has received a token, so a call with none tells nothing
+		refused, isRefusal = errors.AsType[*RefusedError](err)
+	}
 	return isRefusal && refused.OtherIncarnation || err == nil && lists.ofOther(i)
 }
 
+// probe reads the lists of a worker and changes nothing.
+func (r *Runner) probe(c Call) (RunLists, error) {
+	call, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
+	defer cancel()
+	return r.worker.Poll(call, c, 0, 0, 0)
+}
+
 // Deregister handles a worker's deregistration: nothing more is started on it.
 func (r *Runner) Deregister(id lwunit.WorkerID) {
 	r.mu.Lock()
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -294,6 +294,20 @@
 			})
 		})
 	}
+	t.Run("one that started earlier by its clock replaces one in whose place another has answered", func(t *testing.T) {
+		withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+			earlier := lwjob.WorkerIncarnation{Worker: "w2", StartedAt: testIncarnation.StartedAt - 1}
+			w.mu.Lock()
+			w.answersOnlyAs = earlier
+			w.mu.Unlock()
+			time.Sleep(time.Second)
+			r.Announce(lwdispatch.WorkerInfo{Incarnation: earlier, Service: "s"}, 1)
+			time.Sleep(time.Second)
+			if got := l.lastReport().Info.Incarnation; got != earlier {
+				t.Errorf("%v is reported, want %v, which answers", got, earlier)
+			}
+		})
+	})
 	t.Run("a late announcement does not undo a drain", func(t *testing.T) {
 		withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
 			r.Announce(lwdispatch.WorkerInfo{Incarnation: testIncarnation, Service: "s", Draining: true}, 5)
