Send starts on while a worker refuses polls or answers late

A poll that is refused, or not answered in time, does not suggest another incarnation, which begins with a broken connection; tasks on a worker that sheds calls for a while waited.

Only a broken or refused connection makes an agent verify the incarnation now.

--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -79,9 +79,11 @@
 		r.answeredAt = r.clock.Now()
 	case isNetError && timeout.Timeout():
 		r.silent = true
-	case r.brokenAt == 0:
-		r.brokenAt = r.clock.Now()
-		r.unverified, r.callFailedAt = true, r.brokenAt
+	default:
+		r.unverified, r.callFailedAt = true, r.clock.Now()
+		if r.brokenAt == 0 {
+			r.brokenAt = r.callFailedAt
+		}
 	}
 }
 
--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
@@ -311,3 +312,26 @@
 		t.Error("a run that is in neither list is not reported as refused")
 	}
 }
+
+// A worker that refuses polls for a while, or answers none in time, is still the same. Starts
+// must go on: the tasks would wait for its next answer.
+func TestStartsGoOnWhilePollsAreRefused(t *testing.T) {
+	for name, err := range map[string]error{
+		"refused":              &RefusedError{Reason: lwdispatch.RefusedUnhealthy},
+		"not answered in time": &lwfault.Fault{Kind: lwfault.Unknown, Detail: "no response from the worker", Cause: context.DeadlineExceeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+				w.mu.Lock()
+				w.pollError = err
+				w.mu.Unlock()
+				if _, pollErr := r.poll(t.Context(), 0); pollErr == nil {
+					t.Fatal("the poll is answered")
+				}
+				sendOrders(t.Context(), r, testToken, startOrder("j.0.0.0", 1))
+				time.Sleep(10 * time.Millisecond)
+				expectStarts(t, w, "j.0.0.0", 1)
+			})
+		})
+	}
+}
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -105,9 +105,6 @@
 		r.fullReportDue = true
 	}
 	r.failedPolls++
-	if r.info.Incarnation == c.Incarnation {
-		r.unverified, r.callFailedAt = true, r.clock.Now()
-	}
 	nowUnresponsive := r.failedPolls == unresponsiveAfterPolls
 	if _, connRefused := errors.AsType[*ConnRefusedError](err); connRefused && r.info.Incarnation == c.Incarnation {
 		r.refusedConns++
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -81,8 +81,8 @@
 	ended             bool                                // another incarnation has answered in the worker's place
 	replacedByOtherID bool                                // one with another id, which carries out no call that is meant for this one
 	endNoted          bool                                // noteCrash was called
-	unverified        bool                                // a call has failed since the worker last answered a poll, so another incarnation with its id may answer the next one
-	callFailedAt      time.Duration                       // when unverified was last set
+	unverified        bool                                // a call has found the connection broken since the worker last answered a poll, so another incarnation with its id may answer the next one
+	callFailedAt      time.Duration                       // when a call last found the connection broken
 	held              map[runKey]heldRun                  // runs that the worker may hold
 	crashes           []lwdispatch.Crash                  // of all incarnations, that no leader has recorded
 	refusedConns      int                                 // polls in a row whose connection was refused
