Send no copy of a start that lists have shown or a stop has blocked

Cause: an agent repeats a start until it is answered, and carries out an order that the leader has repeated. If lists had shown the run meanwhile, or the run had been refused and blocked, the leader may have released it; the next incarnation with the same id knows neither the run nor the block and began it beside the one elsewhere (TWICE). Lists of the old incarnation that arrived after a copy had gone to the new one released the run just as well.

Change: an agent sends no start of a run that lists of the incarnation have shown, or that it has reported as blocked; it reports that again. It drops lists of a poll that was sent before the start of a run that they show was sent again, and polls without waiting while that may be.

--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -21,13 +21,21 @@
 }
 
 // startSent notes that the worker may hold a run from now on. The time of the first
-// attempt counts, since a start without an answer may be carried out all the same.
-func (r *Runner) startSent(c Call, key runKey) {
+// attempt counts, since a start without an answer may be carried out all the same. It
+// returns false if the start must not be sent, since lists have shown the run meanwhile.
+func (r *Runner) startSent(c Call, key runKey, again bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.held[key]; !ok && r.info.Incarnation == c.Incarnation {
+	if r.info.Incarnation != c.Incarnation || r.shown[key] {
+		return false
+	}
+	if _, ok := r.held[key]; !ok {
 		r.held[key] = heldRun{since: r.clock.Now()}
 	}
+	if again {
+		r.repeatedAt[key] = r.clock.Now()
+	}
+	return true
 }
 
 // startAnswered notes that the worker does not hold a run if its start, of which no
--- a/internal/worker/lwrunner/fake_test.go
+++ b/internal/worker/lwrunner/fake_test.go
@@ -26,6 +26,7 @@
 	highestEnded map[lwunit.TaskID]lwjob.RunID // highest run that was stopped or has ended
 	starts       map[lwunit.TaskID]int         // runs begun
 
+	startCalls       int             // starts that arrived
 	lostStartAnswers int             // starts whose answer is lost
 	delayStarts      int             // starts without an answer that are carried out later
 	delayed          []func()        // the delayed starts
@@ -55,6 +56,7 @@
 func (w *fakeWorker) Start(ctx context.Context, c Call, o lwdispatch.StartRun, until LeaseEnd) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.startCalls++
 	switch {
 	case w.exited:
 		return &ConnRefusedError{errNoAnswer}
--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -335,3 +335,92 @@
 		})
 	}
 }
+
+// The leader may have released a run that was listed, and the next incarnation with the same id
+// would begin it anew: its start must not be sent again.
+func TestListedRunIsNotSentAgain(t *testing.T) {
+	for name, end := range map[string]bool{"in progress": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+				w.lostStartAnswers = 1
+				sendOrders(t.Context(), r, testToken, startOrder("j.0.0.0", 1))
+				time.Sleep(time.Millisecond)
+				if end {
+					w.endRun("j.0.0.0", 1)
+				}
+				if _, err := r.poll(t.Context(), 0); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if w.startCalls != 1 {
+					t.Errorf("the start was sent %d times, want once", w.startCalls)
+				}
+			})
+		})
+	}
+}
+
+// The leader may order a run again before it has handled its refusal. The next incarnation with
+// the same id does not know that the run is blocked, so the order must not reach it.
+func TestBlockedRunIsRefusedAgain(t *testing.T) {
+	const task = "j.0.0.0"
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		w.noCapacity[task] = true
+		sendOrders(t.Context(), r, testToken, startOrder(task, 1))
+		time.Sleep(time.Second)
+		expectRefusals(t, l, task, lwdispatch.RefusedNoCapacity)
+		next := newFakeWorker()
+		r.mu.Lock()
+		r.worker = next
+		r.mu.Unlock()
+		repeated := startOrder(task, 1)
+		repeated.Repeated = true
+		sendOrders(t.Context(), r, testToken, repeated)
+		time.Sleep(time.Second)
+		expectStarts(t, next, task, 0)
+		expectRefusals(t, l, task, lwdispatch.RefusedNoCapacity, lwdispatch.RefusedStopped)
+	})
+}
+
+// Lists that a poll returns after the start of a run was sent again may be of an earlier
+// incarnation than the one that carries out the copy. They must not release the run.
+func TestListsBeforeRepeatedStartAreDropped(t *testing.T) {
+	key := runKey{"j.0.0.0", 1}
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+		c := Call{testIncarnation, testToken}
+		sentAt := r.clock.Now()
+		time.Sleep(time.Millisecond)
+		if !r.startSent(c, key, true) {
+			t.Fatal("the start of a run that no lists have shown is not sent")
+		}
+		w.mu.Lock()
+		lists := RunLists{Clock: w.clock() + 1, StartedAt: testIncarnation.StartedAt, Running: []lwdispatch.RunStatus{{Task: key.task, Run: key.run}}}
+		w.mu.Unlock()
+		r.applyLists(c, lists, sentAt)
+		if r.wasShown(key) {
+			t.Error("lists of a poll that was sent before the copy are taken")
+		}
+		time.Sleep(time.Millisecond)
+		r.applyLists(c, lists, r.clock.Now())
+		if !r.wasShown(key) {
+			t.Error("lists of a poll that was sent after the copy are not taken")
+		}
+	})
+}
+
+// A worker that carries out a start and answers none is sent it again and again. Its lists must
+// be taken all the same: its lease would not be renewed, and its ends not be reported.
+func TestListsAreTakenWhileStartIsRepeated(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		w.mu.Lock()
+		w.lostStartAnswers = 1000
+		w.mu.Unlock()
+		sendOrders(t.Context(), r, testToken, startOrder("a.0.0.0", 1), startOrder("b.0.0.0", 1))
+		time.Sleep(time.Second)
+		if n := len(l.lastReport().Running); !r.wasShown(runKey{"a.0.0.0", 1}) || !r.wasShown(runKey{"b.0.0.0", 1}) {
+			t.Errorf("the lists that show the runs are not taken; %d are reported", n)
+		}
+	})
+}
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -77,10 +77,10 @@
 	}
 	defer r.releaseOrder(r.startsInProgress, key)
 	mayHaveStarted := o.Repeated // this process or its predecessor may have sent a start that was or will be carried out
-	if r.isListed(key) {
+	if r.refuseBlocked(c, key) {
 		return
 	}
-	for r.isCurrent(c) && ctx.Err() == nil && !r.stopRequested(key) {
+	for r.isCurrent(c) && ctx.Err() == nil && !r.stopRequested(key) && !r.wasShown(key) {
 		if r.isDraining() {
 			r.handleRefusal(ctx, c, o, lwdispatch.RefusedDraining, mayHaveStarted)
 			return
@@ -94,11 +94,10 @@
 			return
 		}
 		until, ok := r.leaseForStart(c)
-		if !ok {
+		if !ok || !r.startSent(c, key, mayHaveStarted) {
 			sleep(ctx, orderRetryPause)
 			continue
 		}
-		r.startSent(c, key)
 		err := r.callWorker(ctx, func(call context.Context) error { return r.worker.Start(call, c, o, until) })
 		r.noteAnswer(c, err)
 		r.startAnswered(c, key, err, mayHaveStarted)
@@ -133,16 +132,13 @@
 	}
 }
 
-// isListed reports whether the worker lists a run as running.
-func (r *Runner) isListed(key runKey) bool {
+// wasShown reports whether lists of the worker have shown a run, in progress or ended. The
+// leader may have released it since, and the next incarnation with the same id would begin it
+// anew.
+func (r *Runner) wasShown(key runKey) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, s := range r.lists.Running {
-		if s.Task == key.task && s.Run == key.run {
-			return true
-		}
-	}
-	return false
+	return r.shown[key]
 }
 
 func (r *Runner) isDraining() bool {
@@ -151,6 +147,22 @@
 	return r.info.Draining
 }
 
+// refuseBlocked reports the refusal of a run again if it was reported before, as the leader
+// may have ordered it again meanwhile. The next incarnation with the same id would not know
+// that it is blocked.
+func (r *Runner) refuseBlocked(c Call, key runKey) bool {
+	r.mu.Lock()
+	again := r.info.Incarnation == c.Incarnation && r.blocked[key]
+	if again {
+		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: lwdispatch.RefusedStopped})
+	}
+	r.mu.Unlock()
+	if again {
+		r.requestReport(false)
+	}
+	return again
+}
+
 // isEvacuated reports whether the leader has said that the domain of the worker is
 // evacuated. An agent that was not told so yet, because its reports are not answered,
 // starts nothing once its lease has ended.
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
+	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
 // workerLeaseEnd converts the end of the granted lease to the worker's clock.
@@ -71,6 +75,9 @@
 	if r.listsToken != r.token {
 		wait = 0 // a new leader needs the lists at once
 	}
+	if r.hasRecentRepeats() {
+		wait = 0 // a start that is sent again while the poll waits would make its lists useless
+	}
 	if r.unverified || r.ended {
 		// Another incarnation would take the lease of this one's clock for a longer one,
 		// and forget ends that are not recorded.
@@ -153,7 +160,7 @@
 // sent.
 func (r *Runner) applyLists(c Call, lists RunLists, sentAt time.Duration) (newEnd bool) {
 	r.mu.Lock()
-	if c.Incarnation != r.info.Incarnation || lists.ofOther(c.Incarnation) || r.mayBeOlder(lists, sentAt) {
+	if c.Incarnation != r.info.Incarnation || lists.ofOther(c.Incarnation) || r.mayBeOlder(lists, sentAt) || r.precedesRepeat(lists, sentAt) {
 		r.mu.Unlock()
 		return false
 	}
@@ -170,6 +177,7 @@
 	newToken := r.listsToken != c.Token
 	r.lists, r.listsToken, r.listsRequestedAt, r.clockReceivedAt = lists, c.Token, sentAt, r.clock.Now()
 	r.updateHeld()
+	r.noteShown()
 	foundRefusal := r.findBlocked(sentAt)
 	r.mu.Unlock()
 	if wasUnresponsive {
@@ -189,6 +197,41 @@
 	return lists.Clock < r.lists.Clock || (lists.Clock == r.lists.Clock && sentAt < r.clockReceivedAt)
 }
 
+// precedesRepeat reports whether lists show a run whose start was sent again after the poll
+// that returned them. The copy may have gone to the next incarnation with the same id, and
+// the leader would release the run by what the earlier one has listed. The caller holds mu.
+func (r *Runner) precedesRepeat(lists RunLists, sentAt time.Duration) bool {
+	if len(r.repeatedAt) == 0 {
+		return false
+	}
+	repeatedLater := func(t lwunit.TaskID, run lwjob.RunID) bool {
+		at, ok := r.repeatedAt[runKey{t, run}]
+		return ok && sentAt < at
+	}
+	return slices.ContainsFunc(lists.Running, func(s lwdispatch.RunStatus) bool { return repeatedLater(s.Task, s.Run) }) ||
+		slices.ContainsFunc(lists.Ends, func(e lwdispatch.NumberedEnd) bool { return repeatedLater(e.End.Task, e.End.Run) })
+}
+
+// hasRecentRepeats reports whether a poll in flight may have been sent before a start was sent
+// again. It forgets those that no poll in flight can precede. The caller holds mu.
+func (r *Runner) hasRecentRepeats() bool {
+	now := r.clock.Now()
+	maps.DeleteFunc(r.repeatedAt, func(_ runKey, at time.Duration) bool { return now-at > maxPollWait+workerCallTimeout })
+	return len(r.repeatedAt) > 0
+}
+
+// noteShown notes the runs that the lists show. The caller holds mu.
+func (r *Runner) noteShown() {
+	for _, s := range r.lists.Running {
+		r.shown[runKey{s.Task, s.Run}] = true
+		delete(r.repeatedAt, runKey{s.Task, s.Run})
+	}
+	for _, e := range r.lists.Ends {
+		r.shown[runKey{e.End.Task, e.End.Run}] = true
+		delete(r.repeatedAt, runKey{e.End.Task, e.End.Run})
+	}
+}
+
 // findBlocked adds a refusal for each stopped run that is not in progress and never will
 // be: lists requested after the stop was answered show neither the run nor its end. The end
 // may have been recorded and forgotten, if the leader has taken an earlier report for a later
@@ -215,6 +258,8 @@
 			continue
 		}
 		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: r.reasonOf(key)})
+		r.blocked[key] = true
+		delete(r.repeatedAt, key)
 		found = true
 	}
 	return found
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -89,6 +89,9 @@
 	reportedEnd       int64                               // number of the highest end that the leader has received
 	knownEnds         map[runKey]bool                     // runs whose end has been listed
 	refusals          []lwdispatch.Refusal                // not reported yet
+	shown             map[runKey]bool                     // runs that lists of this incarnation have shown, in progress or ended
+	blocked           map[runKey]bool                     // runs that were reported as refused and can never begin
+	repeatedAt        map[runKey]time.Duration            // when the start of a run that no lists have shown was last sent again
 	refusalReasons    map[runKey]lwdispatch.RefusalReason // of runs that are stopped because their start was refused
 	starting          map[runKey]bool                     // runs with a start in progress
 	stopping          map[runKey]bool                     // runs with a stop in progress
@@ -123,6 +126,7 @@
 	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.refusalReasons = make(map[runKey]lwdispatch.RefusalReason)
+	r.shown, r.blocked, r.repeatedAt = make(map[runKey]bool), make(map[runKey]bool), make(map[runKey]time.Duration)
 	r.starting = make(map[runKey]bool)
 	r.stopping = make(map[runKey]bool)
 	r.newestLimit = make(map[runKey]int64)
