Let workers that are fenced, shed or have left take no task with them

Brought by: polls of an earlier incarnation that failed after the next one had announced itself made that one look unresponsive, so the leader did not add it, and it got no token with which the agent could poll it: it never got tasks again. Failed polls now count for their own incarnation. A worker that has received a higher token than its leader's is reported as fenced, and gets a higher one, also when the leader has given it up.

Brought by: tasks of a worker that had deregistered waited for its lease. It has said that it ends, so refused connections show that it has. A deregistration names the incarnation by the time of its start, if it states it.

Brought by: a start that an unhealthy worker refused was reported only once it took a stop. If it refuses that too, the refusal of a start that was sent once is reported; the agent sends no copy of it.

Calls that stop or limit a run tell of broken connections, too. The leader of the schedules dismisses workers and counts the longest lease as the real one does.

--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -264,3 +264,41 @@
 		t.Errorf("the runs %v are counted, want the second one only", runs)
 	}
 }
+
+// Guards against a new leader that counts the usual lease for an incarnation on its roster which
+// may hold the longest one, by a start that was meant for an earlier incarnation with its id.
+func TestLongestLeaseIsCountedByNextLeader(t *testing.T) {
+	f := newFixture(t)
+	f.config.MaxWorkerLease = 10 * time.Second
+	f.startTerm(testTerm)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, time.Minute))
+	expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+	f.join(workerInfo("w2", 4))
+	f.restart("w1") // it has carried the start out, and is lost before it reports its lists
+	f.startTerm(testTerm + 1)
+	f.join(f.infos["w2"])
+	lostFor := time.Duration(0)
+	for ; len(f.takeStarts("w2")) == 0 && lostFor < 20*time.Second; lostFor += 100 * time.Millisecond {
+		f.advance(100 * time.Millisecond)
+		f.report("w2")
+	}
+	if lostFor < 10*time.Second {
+		t.Errorf("the task is started elsewhere after %s, want at least 10s", lostFor)
+	}
+}
+
+// A worker that has received a higher token than its leader's refuses all calls. It must get a
+// higher one, also after it was given up: it would never be given tasks again.
+func TestFencedWorkerGetsHigherToken(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	fenced := Report{Info: f.infos["w1"], Unresponsive: true, Fenced: true, KnowsCrashes: true}
+	before, _ := f.core.TokenAndCursor(f.infos["w1"].Incarnation)
+	for name, wait := range map[string]time.Duration{"while it is known": 0, "after it was given up": 10 * time.Second} {
+		f.advance(wait)
+		if g := f.core.Report(fenced); g.Token <= before {
+			t.Errorf("%s it gets token %d, want one over %d", name, g.Token, before)
+		}
+	}
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -19,7 +19,7 @@
 		c.processEnded(m.Info.Incarnation)
 		return Grant{CrashesRecorded: recorded}
 	}
-	if m.Unresponsive && c.workers[m.Info.Incarnation] == nil {
+	if m.Unresponsive && !m.Fenced && c.workers[m.Info.Incarnation] == nil {
 		return Grant{CrashesRecorded: recorded} // it is added once it answers its agent
 	}
 	w := c.findOrAddWorker(m.Info, m.KnowsCrashes)
@@ -28,6 +28,9 @@
 	}
 	c.updateInfo(w, m.Info)
 	c.noteWarmup(w)
+	if m.Fenced {
+		c.raiseToken(w)
+	}
 	if m.Token == w.token {
 		c.handleLists(w, m)
 	}
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -116,6 +116,7 @@
 	Ends         []NumberedEnd   `json:"ends,omitempty"`
 	Refused      []Refusal       `json:"refused,omitempty"`
 	ListsAge     lwunit.Duration `json:"age,omitempty"`           // age of the lists
+	Fenced       bool            `json:"fenced,omitempty"`        // the worker has received a higher token than the agent has
 	KnowsCrashes bool            `json:"knows_crashes,omitempty"` // the agent reports the crashes of its worker
 	Crashes      []Crash         `json:"crashes,omitempty"`       // that no leader has said to be recorded
 }
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -262,7 +262,8 @@
 	defer r.releaseOrder(r.stopsInProgress, key)
 	for r.isCurrent(c) && ctx.Err() == nil {
 		err := r.callWorker(ctx, func(call context.Context) error { return r.worker.Stop(call, c, o) })
-		if refused, ok := errors.AsType[*RefusedError](err); ok && (refused.Reason != lwdispatch.RefusedUnhealthy || refused.OtherIncarnation) {
+		r.noteAnswer(c, err)
+		if refused, ok := errors.AsType[*RefusedError](err); ok && (refused.Reason != lwdispatch.RefusedUnhealthy || refused.OtherIncarnation || r.refuseUnblocked(c, key)) {
 			return
 		}
 		if err != nil {
@@ -279,6 +280,25 @@
 	}
 }
 
+// refuseUnblocked reports a run as refused that an unhealthy worker neither starts nor stops.
+// Its start was sent once and refused, and this process sends no copy of it. It returns false
+// for a run that may have begun, which must be stopped.
+func (r *Runner) refuseUnblocked(c Call, key runKey) bool {
+	r.mu.Lock()
+	reason, ok := r.refusalReasons[key]
+	ok = ok && r.info.Incarnation == c.Incarnation
+	if ok {
+		delete(r.refusalReasons, key)
+		r.blocked[key] = true
+		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: reason})
+	}
+	r.mu.Unlock()
+	if ok {
+		r.requestReport(false)
+	}
+	return ok
+}
+
 // limitCPU limits a run to a percentage of its declared processors. It repeats a
 // call without an answer, unless a newer limit was ordered for the run.
 func (r *Runner) limitCPU(ctx context.Context, c Call, o lwdispatch.LimitRunCPU) {
@@ -293,6 +313,7 @@
 			return
 		}
 		err := r.callWorker(ctx, func(call context.Context) error { return r.worker.LimitCPU(call, c, o) })
+		r.noteAnswer(c, err)
 		if err == nil {
 			break
 		}
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -111,9 +111,14 @@
 	if ok && refused.Reason == lwdispatch.RefusedFence && r.token == c.Token {
 		r.fullReportDue = true
 	}
+	if r.info.Incarnation != c.Incarnation {
+		r.mu.Unlock()
+		return
+	}
 	r.failedPolls++
 	nowUnresponsive := r.failedPolls == unresponsiveAfterPolls
-	if _, connRefused := errors.AsType[*ConnRefusedError](err); connRefused && r.info.Incarnation == c.Incarnation {
+	r.fenced = ok && refused.Reason == lwdispatch.RefusedFence
+	if _, connRefused := errors.AsType[*ConnRefusedError](err); connRefused {
 		r.refusedConns++
 	} else {
 		r.refusedConns = 0
@@ -137,12 +142,18 @@
 	}
 }
 
+// processEnded reports whether the worker's process has ended for good: a worker with another
+// id answers at its address, or it has said that it ends and nothing listens. The caller holds
+// mu.
+func (r *Runner) processEnded() bool {
+	return r.replacedByOtherID || (r.deregistered && r.refusedConns >= goneAfterRefusals)
+}
+
 // holdsNothing reports whether nothing runs on a worker that cannot be reached. Refused
-// connections show that nothing listens, not that nothing runs, so its lease must have ended,
-// too; a worker with another id at its address shows that its process has ended. The caller
-// holds mu.
+// connections show that nothing listens, not that nothing runs, so unless its process has
+// ended for good its lease must have ended. The caller holds mu.
 func (r *Runner) holdsNothing() bool {
-	return r.replacedByOtherID || (r.refusedConns >= goneAfterRefusals && r.leaseDeadline > 0 && r.clock.Now() >= r.leaseDeadline)
+	return r.processEnded() || (r.refusedConns >= goneAfterRefusals && r.leaseDeadline > 0 && r.clock.Now() >= r.leaseDeadline)
 }
 
 // lastContact returns the fields of a log line about a worker that cannot be reached: the
@@ -165,7 +176,7 @@
 		return false
 	}
 	wasUnresponsive, wasGone := r.failedPolls >= unresponsiveAfterPolls, r.refusedConns >= goneAfterRefusals
-	r.failedPolls, r.refusedConns, r.endNoted = 0, 0, false
+	r.failedPolls, r.refusedConns, r.endNoted, r.fenced = 0, 0, false, false
 	r.unverified = r.unverified && sentAt < r.callFailedAt
 	for _, e := range lists.Ends {
 		key := runKey{e.End.Task, e.End.Run}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -76,6 +76,8 @@
 	clockReceivedAt   time.Duration                       // when lists.Clock was received
 	failedPolls       int                                 // failed polls in a row
 	answeredAt        time.Duration                       // when the worker last answered a call; 0 before its first answer
+	fenced            bool                                // the last poll was refused because the worker has received a higher token
+	deregistered      bool                                // the worker has said that it ends
 	silent            bool                                // a call has timed out since the worker last answered one
 	brokenAt          time.Duration                       // when a call first found the connection broken or refused, since the worker last answered one; 0 if none has
 	ended             bool                                // another incarnation has answered in the worker's place
@@ -123,6 +125,7 @@
 	r.held = make(map[runKey]heldRun)
 	r.brokenAt, r.answeredAt, r.silent, r.unverified = 0, 0, false, false
 	r.ended, r.replacedByOtherID, r.endNoted, r.callFailedAt = false, false, false, 0
+	r.fenced, r.deregistered = false, false
 	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.refusalReasons = make(map[runKey]lwdispatch.RefusalReason)
@@ -209,11 +212,13 @@
 }
 
 // Deregister handles a worker's deregistration: nothing more is started on it.
-func (r *Runner) Deregister(id lwunit.WorkerID) {
+// StartedAt is 0 if the worker does not state it.
+func (r *Runner) Deregister(i lwjob.WorkerIncarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.announced && r.info.Incarnation.Worker == id {
-		r.info.Draining = true
-		r.log.Info("worker deregistered", zap.String("worker", string(id)))
+	current := r.info.Incarnation
+	if r.announced && current.Worker == i.Worker && (i.StartedAt == 0 || i.StartedAt == current.StartedAt) {
+		r.info.Draining, r.deregistered = true, true
+		r.log.Info("worker deregistered", zap.String("worker", string(i.Worker)))
 	}
 }
--- a/internal/worker/lwrunner/schedule_leader_test.go
+++ b/internal/worker/lwrunner/schedule_leader_test.go
@@ -110,7 +110,9 @@
 	l := &leader{s: s, term: term, wakeups: make(chan struct{}, 1), sessions: make(map[lwjob.WorkerIncarnation]*session)}
 	in := lwdispatch.ReplicatedState{Roster: slices.Clone(s.table.Roster())}
 	s.table.EachJob(func(j *lwjob.Job) { in.Jobs = append(in.Jobs, j) })
-	l.core = lwdispatch.New(lwdispatch.DefaultConfig(), term, s.now(), s.wallClock(), in)
+	cfg := lwdispatch.DefaultConfig()
+	cfg.MaxWorkerLease = maxHold * time.Millisecond
+	l.core = lwdispatch.New(cfg, term, s.now(), s.wallClock(), in)
 	go l.run(s.ctx)
 	return l
 }
@@ -226,6 +228,9 @@
 		for _, e := range c.enrol {
 			l.core.RosterRecorded(e.Incarnation)
 		}
+		for _, i := range c.dismiss {
+			l.core.DismissalRecorded(i)
+		}
 		l.rosterInFlight = false
 		l.changeRoster()
 	})
