Ask before each copy of a start whether its run is blocked or was sent before

Cause: whether a run is blocked was asked once, when its order arrived. A start that waited for its next attempt was sent after the run had been blocked and released; and the first copy of an order, handled after the repeated one, did not count as sent again, so that older lists were taken. The next incarnation with the same id began the run beside the one elsewhere (TWICE).

Both are asked now under one lock before each attempt.

--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -22,20 +22,23 @@
 
 // startSent notes that the worker may hold a run from now on. The time of the first
 // attempt counts, since a start without an answer may be carried out all the same. It
-// returns false if the start must not be sent, since lists have shown the run meanwhile.
-func (r *Runner) startSent(c Call, key runKey, again bool) bool {
+// reports whether the start may have been carried out before, and whether it may be sent: not
+// once lists have shown the run, or a stop has blocked it.
+func (r *Runner) startSent(c Call, key runKey, mayHaveStarted bool) (again, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.info.Incarnation != c.Incarnation || r.shown[key] {
-		return false
+	if r.info.Incarnation != c.Incarnation || r.shown[key] || r.blocked[key] {
+		return mayHaveStarted, false
 	}
-	if _, ok := r.held[key]; !ok {
+	_, sent := r.held[key]
+	if !sent {
 		r.held[key] = heldRun{since: r.clock.Now()}
 	}
+	again = mayHaveStarted || sent
 	if again {
 		r.repeatedAt[key] = r.clock.Now()
 	}
-	return true
+	return again, true
 }
 
 // startAnswered notes that the worker does not hold a run if its start, of which no
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -77,10 +77,7 @@
 	}
 	defer r.releaseOrder(r.startsInProgress, key)
 	mayHaveStarted := o.Repeated // this process or its predecessor may have sent a start that was or will be carried out
-	if r.refuseBlocked(c, key) {
-		return
-	}
-	for r.isCurrent(c) && ctx.Err() == nil && !r.stopRequested(key) && !r.wasShown(key) {
+	for r.isCurrent(c) && ctx.Err() == nil && !r.stopRequested(key) && !r.wasShown(key) && !r.refuseBlocked(c, key) {
 		if r.isDraining() {
 			r.handleRefusal(ctx, c, o, lwdispatch.RefusedDraining, mayHaveStarted)
 			return
@@ -94,7 +91,10 @@
 			return
 		}
 		until, ok := r.leaseForStart(c)
-		if !ok || !r.startSent(c, key, mayHaveStarted) {
+		if ok {
+			mayHaveStarted, ok = r.startSent(c, key, mayHaveStarted)
+		}
+		if !ok {
 			sleep(ctx, orderRetryPause)
 			continue
 		}
