Model a worker that starts again under the same id

Cause: spec/orders.pml left out a restart with the same id, and its agent went by the newest lists only, where the code goes by all lists of the incarnation.

Change: -DRESTART adds the restart, -DSTOPS a leader that stops runs no list has shown, -DORDERED_LISTS the rule of mayBeOlder. A start is not sent if lists have shown its run or a stop has blocked it; lists of a poll sent before a copy are dropped if they show its run; a new incarnation begins without a token.

--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -13,12 +13,27 @@
  *   LAPSE     leases end, and the worker is registered again
  *   CONN      connections are refused, while the worker runs on or because another
  *             worker has its address
+ *   RESTART   the worker ends and starts again with the same id
+ *   STOPS     the leader stops the run, also before lists have shown it
  *   POLLS=2   answers to polls overtake each other
  *   REPORTS=2 reports overtake each other
  *
- * Not modelled: a worker that ends and starts again with the same id, and a call
- * that was sent to one life of a worker and is carried out by the next one. Whether
- * workers do the latter is an open question to the provider (docs/PROVIDER.md).
+ * With ORDERED_LISTS the agent takes no lists that may be older than those at hand,
+ * as the real one does. Without it, it takes lists in any order.
+ *
+ * Calls that are sent after a restart and before the agent knows of it are carried
+ * out by the next life. Not modelled: a call that was sent to one life of the worker
+ * and is carried out by the next one. Whether workers do that is an open question to
+ * the provider (docs/PROVIDER.md). RESTART is not checked with LAPSE: a lease is an
+ * end on the clock of one life, and on the clock of the next one it may outlast what
+ * the leader counts when that life is lost before it has reported. It is checked
+ * alone and with REFUSALS only; the searches with STOPS and with POLLS=2 did not
+ * complete.
+ *
+ * Open: the agent looks for a blocked run only when an order arrives, as under
+ * BUG_BLOCKED_AT_ORDER, and takes a start for the first one if its order is not
+ * marked as repeated, as under BUG_FIRST_LATE.
+ *
  * A leader that raises the token of a worker that has received a higher one keeps
  * the run, so a start or a stop that is refused for its token has no effect here.
  *
@@ -32,6 +47,18 @@
  *                         is read
  *   BUG_SEND_RELEASED     (LAPSE) a start that waits to be sent is sent although its
  *                         run was released
+ *   BUG_SAME_TOKEN        (RESTART) the next life of the worker gets the token of
+ *                         the one before
+ *   BUG_RELEASE_UNLISTED  (RESTART) a run that no list has shown is released when
+ *                         the next life reports
+ *   BUG_SEND_SHOWN        (RESTART) a start is sent although lists have shown its run
+ *                         or a stop has blocked it
+ *   BUG_BLOCKED_AT_ORDER  (RESTART, REFUSALS) whether a stop has blocked the run is
+ *                         checked when an order arrives and not when it is sent
+ *   BUG_LISTS_BEFORE_COPY (RESTART) lists that were asked for before a start was
+ *                         sent again are taken although they show its run
+ *   BUG_FIRST_LATE        (RESTART) the first order of a start, carried out after a
+ *                         repeated one, counts as the first copy
  *   BUG_RELEASE_MISSING   (POLLS, REPORTS) a run that is no longer listed is released
  *                         without a stop
  */
@@ -45,6 +72,7 @@
 #define REPORTS 1
 #endif
 #define STARTS 2
+#define LONG 7 /* lease that the next life counts from the call */
 
 /* The worker. */
 byte life = 1;
@@ -60,6 +88,8 @@
 mtype phase = NOT_ORDERED;
 byte registered;      /* life of the worker that is known; 0 for none */
 byte leaderToken;     /* kept as the highest one while the worker is not known */
+bool wasListed;
+bool fromEarlier;     /* ordered from an earlier life */
 bool waiting[2];      /* the first start, and a repeated one, wait to be sent */
 
 /* Orders to the agent: the first start, a repeated one and a stop. */
@@ -74,21 +104,40 @@
 byte listsToken;
 bool listsRunning;
 bool listsEnded;
+bool shown;           /* taken lists have shown the run or its end */
 mtype starting = IDLE;
 byte startToken;
 byte called;          /* start call that is waited for, if CALLING */
 bool mayHaveStarted;
 byte stopToken;       /* of the stop in progress; 0 for none */
 bool stopAnswered;
+bool sent;            /* a start was sent to this life */
 bool refusal;         /* the next reports say that the run never began */
 
+#ifdef BUG_SEND_SHOWN
+#define SETTLED false
+#define SETTLED_AT_SEND false
+#else
+#define SETTLED (shown || refusal)
+#ifdef BUG_BLOCKED_AT_ORDER
+#define SETTLED_AT_SEND shown
+#else
+#define SETTLED_AT_SEND SETTLED
+#endif
+#endif
+#ifdef BUG_FIRST_LATE
+#define IS_COPY mayHaveStarted
+#else
+#define IS_COPY (mayHaveStarted || sent)
+#endif
+
 /* Starts on their way to the worker. */
 typedef Start { byte token; byte lease; byte life }
 Start start[STARTS];  /* token 0 for none */
 
 /* Answers to polls. */
-typedef Lists { byte token; byte sentFor; byte life; bool running; bool ended; bool afterStop }
-Lists lists[POLLS];   /* token 0 for none */
+typedef Lists { byte token; byte sentFor; byte life; bool running; bool ended; bool afterStop; bool beforeCopy; bool older }
+Lists lists[POLLS];   /* token 0 for none; older: another answer on its way is newer */
 
 /* Reports to the leader, and its reply. */
 typedef Report { byte life; byte token; bool running; bool ended; bool refusal; bool processEnded }
@@ -109,7 +158,7 @@
 inline clear_reply() { reply.life = 0; reply.token = 0; reply.lease = 0 }
 inline clear_lists(k) {
   lists[k].token = 0; lists[k].sentFor = 0; lists[k].life = 0;
-  lists[k].running = false; lists[k].ended = false; lists[k].afterStop = false
+  lists[k].running = false; lists[k].ended = false; lists[k].afterStop = false; lists[k].beforeCopy = false; lists[k].older = false
 }
 inline clear_report(k) {
   report[k].life = 0; report[k].token = 0; report[k].running = false;
@@ -121,6 +170,8 @@
   :: phase != NOT_ORDERED && phase != RELEASED ->
        phase = RELEASED;
        elsewhere = true;
+       fromEarlier = false;
+       wasListed = false;
 #ifndef BUG_SEND_RELEASED
        waiting[0] = false;
        waiting[1] = false
@@ -169,6 +220,21 @@
 inline register(next) {
   if
   :: registered == 0 -> leaderToken++
+  :: registered != 0 && registered < next ->
+       waiting[0] = false;
+       waiting[1] = false;
+#ifdef BUG_RELEASE_UNLISTED
+       release();
+#else
+       if
+       :: wasListed -> release()
+       :: !wasListed && phase != NOT_ORDERED && phase != RELEASED -> fromEarlier = true
+       :: else
+       fi;
+#endif
+#ifndef BUG_SAME_TOKEN
+       leaderToken++
+#endif
   :: else
   fi;
   registered = next
@@ -181,10 +247,13 @@
   fi;
   if
   :: report[k].running && phase != NOT_ORDERED && phase != RELEASED ->
+       wasListed = true;
+       fromEarlier = false;
        if
        :: phase == ORDERED -> phase = LISTED
        :: else
        fi
+  :: !report[k].running && fromEarlier -> release()
   :: !report[k].running && phase == LISTED ->
 #ifdef BUG_RELEASE_MISSING
        release()
@@ -229,7 +298,7 @@
   :: order[k].life == agentLife && order[k].token >= agentToken ->
        adopt(order[k].token);
        if
-       :: k < 2 && starting == IDLE && !listsRunning ->
+       :: k < 2 && starting == IDLE && !SETTLED ->
             starting = READY;
             startToken = order[k].token;
             mayHaveStarted = (k == 1)
@@ -261,6 +330,7 @@
 
 inline take_lease(until, target) {
   if
+  :: until != 0 && target != life -> lease = LONG
   :: until != 0 && target == life && until > lease -> lease = until
   :: else
   fi
@@ -304,6 +374,15 @@
 }
 
 inline send_start(k) {
+#ifndef BUG_LISTS_BEFORE_COPY
+  for (i : 0 .. POLLS - 1) {
+    if
+    :: IS_COPY && lists[i].token != 0 -> lists[i].beforeCopy = true
+    :: else
+    fi
+  }
+  sent = true;
+#endif
   start[k].token = startToken;
   start[k].lease = agentLease;
   start[k].life = agentLife;
@@ -319,15 +398,41 @@
   lists[k].life = life;
   lists[k].running = running;
   lists[k].ended = ended;
-  lists[k].afterStop = stopAnswered
+  lists[k].afterStop = stopAnswered;
+#ifdef ORDERED_LISTS
+  for (i : 0 .. POLLS - 1) {
+    if
+    :: i != k && lists[i].token != 0 -> lists[i].older = true
+    :: else
+    fi
+  }
+#endif
+}
+
+inline forget_lists(k) {
+  clear_lists(k);
+  for (i : 0 .. POLLS - 1) {
+    lists[i].older = false
+  }
 }
 
 inline apply_lists(k) {
   if
-  :: lists[k].sentFor == agentLife && lists[k].life == agentLife ->
+  :: lists[k].sentFor == agentLife && lists[k].life == agentLife &&
+     !(lists[k].beforeCopy && (lists[k].running || lists[k].ended)) ->
        listsToken = lists[k].token;
        listsRunning = lists[k].running;
        listsEnded = lists[k].ended;
+#ifdef ORDERED_LISTS
+       for (i : 0 .. POLLS - 1) {
+         if
+         :: i != k && lists[i].older -> clear_lists(i)
+         :: i != k && !lists[i].older
+         :: else
+         fi
+       }
+#endif
+       shown = shown || lists[k].running || lists[k].ended;
        if
        :: stopAnswered && lists[k].afterStop && !lists[k].running ->
             stopAnswered = false;
@@ -336,7 +441,7 @@
        fi
   :: else
   fi;
-  clear_lists(k)
+  forget_lists(k)
 }
 
 inline send_report(k, hasEnded) {
@@ -348,6 +453,21 @@
   report[k].processEnded = hasEnded
 }
 
+inline announce() {
+  agentLife = life;
+  agentToken = 0;
+  agentLease = 0;
+  listsToken = 0;
+  listsRunning = false;
+  listsEnded = false;
+  shown = false;
+  stopToken = 0;
+  stopAnswered = false;
+  refusal = false;
+  sent = false;
+  end_start()
+}
+
 active proctype main() {
   byte i, j;
   mtype answer = NO_ANSWER;
@@ -360,7 +480,10 @@
        if
        /* The leader. */
        :: phase == NOT_ORDERED && registered != 0 -> phase = ORDERED; waiting[0] = true
-       :: phase == ORDERED && !waiting[1] && order[1].token == 0 -> waiting[1] = true
+       :: phase == ORDERED && !fromEarlier && !waiting[1] && order[1].token == 0 -> waiting[1] = true
+#ifdef STOPS
+       :: j == 0 && phase != RELEASED -> stop_run()
+#endif
        :: phase == STOPPING && registered != 0 && order[2].token == 0 ->
             order[2].token = leaderToken;
             order[2].life = registered
@@ -390,6 +513,7 @@
        :: j == 0 && reply.life != 0 -> clear_reply()
        :: j < REPORTS && report[j].life == 0 -> send_report(j, false)
        :: j == 0 && starting == READY && (startToken != agentToken || stopToken != 0 || stopAnswered) -> end_start()
+       :: j == 0 && starting == READY && SETTLED_AT_SEND -> end_start()
 #ifdef REFUSALS
        :: j == 0 && starting == READY && startToken == agentToken -> handle_refusal()
 #endif
@@ -397,7 +521,7 @@
        :: j == 0 && starting == READY && startToken == agentToken && stopToken == 0 && !stopAnswered -> starting = CHECKED
        :: starting == CHECKED && agentLease != 0 && start[j].token == 0 -> send_start(j)
 #else
-       :: starting == READY && startToken == agentToken && stopToken == 0 && !stopAnswered &&
+       :: starting == READY && startToken == agentToken && stopToken == 0 && !stopAnswered && !SETTLED_AT_SEND &&
           agentLease != 0 && start[j].token == 0 -> send_start(j)
 #endif
        :: j == 0 && starting == CALLING -> starting = READY; called = 0; mayHaveStarted = true /* no answer in time */
@@ -415,7 +539,7 @@
             fi
        :: j < POLLS && lists[j].token == 0 && agentToken != 0 && agentToken >= token && REACHABLE -> poll(j)
        :: j < POLLS && lists[j].token != 0 -> apply_lists(j)
-       :: j < POLLS && lists[j].token != 0 -> clear_lists(j)
+       :: j < POLLS && lists[j].token != 0 -> forget_lists(j)
 
        /* The worker. */
        :: start[j].token != 0 && REACHABLE -> carry_out_start(j)
@@ -428,6 +552,19 @@
             end_leases();
             remove_worker()
 #endif
+#ifdef RESTART
+       :: j == 0 && life == 1 ->
+            life = 2;
+            running = false;
+            blocked = false;
+            ended = false;
+            token = 0;
+            lease = 0;
+            for (i : 0 .. STARTS - 1) {
+              clear_start(i)
+            }
+       :: j == 0 && agentLife != life -> announce()
+#endif
 #ifdef CONN
        :: j == 0 && !gone && !refusing -> refusing = true
        :: j == 0 && refusing -> refusing = false
