--- a/spec/orders.pml
+++ b/spec/orders.pml
@@ -30,10 +30,6 @@
  * alone and with REFUSALS only; the searches with STOPS and with POLLS=2 did not
  * complete.
  *
- * Open: the agent looks for a blocked run only when an order arrives, as under
- * BUG_BLOCKED_AT_ORDER, and takes a start for the first one if its order is not
- * marked as repeated, as under BUG_FIRST_LATE.
- *
  * A leader that raises the token of a worker that has received a higher one keeps
  * the run, so a start or a stop that is refused for its token has no effect here.
  *
