Decide that a start may be sent when it has its turn

Cause: whether a run had been listed or blocked, or its worker's connection had broken, was asked before the start waited for one of the six parallel calls to the worker. With other starts unanswered it waits up to 0.3 s, in which its run may be blocked and released; the next incarnation with the same id would begin it beside the one elsewhere (TWICE).

It is asked once the start has its turn, under one lock with the note that it is sent. TestStartThatWaitsForItsTurnIsAskedAgain failed before.

--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -574,3 +575,42 @@
 		}
 	})
 }
+
+// slowStartWorker answers no start until release is closed.
+type slowStartWorker struct {
+	*fakeWorker
+	release chan struct{}
+}
+
+func (w *slowStartWorker) Start(ctx context.Context, c Call, o lwdispatch.StartRun, until LeaseEnd) error {
+	err := w.fakeWorker.Start(ctx, c, o, until)
+	select {
+	case <-w.release:
+	case <-ctx.Done():
+	}
+	return err
+}
+
+// A start may wait for its turn behind others. It must not be sent if its run was blocked
+// meanwhile: the leader has started the task elsewhere, and the next incarnation would begin it.
+func TestStartThatWaitsForItsTurnIsAskedAgain(t *testing.T) {
+	const task = "last.0.0.0"
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+		slow := &slowStartWorker{w, make(chan struct{})}
+		r.mu.Lock()
+		r.worker = slow
+		r.mu.Unlock()
+		for i := range maxParallelOrders {
+			sendOrders(t.Context(), r, testToken, startOrder(lwunit.TaskID(fmt.Sprintf("first.0.0.%d", i)), 1))
+		}
+		time.Sleep(time.Millisecond)
+		sendOrders(t.Context(), r, testToken, startOrder(task, 1))
+		time.Sleep(time.Millisecond)
+		r.mu.Lock()
+		r.blocked[runKey{task, 1}] = true
+		r.mu.Unlock()
+		close(slow.release)
+		time.Sleep(time.Second)
+		expectStarts(t, w, task, 0)
+	})
+}
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -91,14 +91,20 @@
 			return
 		}
 		until, ok := r.leaseForStart(c)
-		if ok {
-			mayHaveStarted, ok = r.startSent(c, key, mayHaveStarted)
-		}
 		if !ok {
 			sleep(ctx, orderRetryPause)
 			continue
 		}
-		err := r.callWorker(ctx, func(call context.Context) error { return r.worker.Start(call, c, o, until) })
+		err := r.callWorker(ctx, func(call context.Context) error {
+			var sendable bool
+			if mayHaveStarted, sendable = r.startSent(c, key, mayHaveStarted); !sendable {
+				return errNotSendable
+			}
+			return r.worker.Start(call, c, o, until)
+		})
+		if errors.Is(err, errNotSendable) {
+			continue // the conditions of the loop tell why
+		}
 		r.noteAnswer(c, err)
 		r.startAnswered(c, key, err, mayHaveStarted)
 		refused, isRefusal := errors.AsType[*RefusedError](err)
@@ -120,6 +126,10 @@
 	}
 }
 
+// errNotSendable means that a start was not sent, since something has become known of its run or
+// of the worker while it waited for its turn.
+var errNotSendable = errors.New("the start must not be sent any more")
+
 const (
 	fullCPUPercent   = 100 // of its declared processors, with which a worker begins a run
 	cpuLimitAttempts = 3   // to limit a run; after them the worker counts as not answering
