--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -231,10 +231,10 @@
 
 // maxLeaseTime returns the time after a report by which all runs of the worker
 // have ended.
-func (c *Core) maxLeaseTime() time.Duration { return c.timeOf(c.cfg.Lease) }
+func (c *Core) maxLeaseTime() time.Duration { return c.longestLeaseTime(c.cfg.Lease) }
 
-// timeOf returns the longest time that a lease takes on a worker's clock, with slack.
-func (c *Core) timeOf(lease time.Duration) time.Duration {
+// longestLeaseTime returns the longest time that a lease takes on a worker's clock, with slack.
+func (c *Core) longestLeaseTime(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease)*(1+c.cfg.MaxClockDrift)) + c.cfg.LeaseSlack
 }
 
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -40,7 +40,7 @@
 	}
 	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now}
 	if hadID {
-		w.minLeaseEnd = c.now + c.timeOf(c.cfg.MaxWorkerLease)
+		w.minLeaseEnd = c.now + c.longestLeaseTime(c.cfg.MaxWorkerLease)
 	}
 	c.renewLease(w)
 	if awaited {
--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -20,12 +20,12 @@
 	adopted bool          // this process did not start it; it began before since
 }
 
-// startSent notes that the worker may hold a run from now on. The time of the first
+// prepareStart notes that the worker may hold a run from now on. The time of the first
 // attempt counts, since a start without an answer may be carried out all the same. It
 // reports whether the start may have been carried out before, and whether it may be sent: not
 // once lists have shown the run, or a stop has blocked it, nor while another incarnation may
 // answer in the worker's place.
-func (r *Runner) startSent(c Call, key runKey, mayHaveStarted bool) (again, ok bool) {
+func (r *Runner) prepareStart(c Call, key runKey, mayHaveStarted bool) (again, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.info.Incarnation != c.Incarnation || r.unverified || r.shown[key] || r.blocked[key] {
--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -394,7 +394,7 @@
 		c := Call{testIncarnation, testToken}
 		sentAt := r.clock.Now()
 		time.Sleep(time.Millisecond)
-		if _, ok := r.startSent(c, key, true); !ok {
+		if _, ok := r.prepareStart(c, key, true); !ok {
 			t.Fatal("the start of a run that no lists have shown is not sent")
 		}
 		w.mu.Lock()
@@ -561,16 +561,16 @@
 func TestStartSentKnowsOtherAttempts(t *testing.T) {
 	c, key := Call{testIncarnation, testToken}, runKey{"j.0.0.0", 1}
 	withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, _ *fakeLeader) {
-		if again, ok := r.startSent(c, key, false); again || !ok {
+		if again, ok := r.prepareStart(c, key, false); again || !ok {
 			t.Errorf("the first attempt is sent %t and again %t, want sent for the first time", ok, again)
 		}
-		if again, ok := r.startSent(c, key, false); !again || !ok {
+		if again, ok := r.prepareStart(c, key, false); !again || !ok {
 			t.Errorf("the attempt of another copy of the order is sent %t and again %t, want sent again", ok, again)
 		}
 		r.mu.Lock()
 		r.blocked[key] = true
 		r.mu.Unlock()
-		if _, ok := r.startSent(c, key, true); ok {
+		if _, ok := r.prepareStart(c, key, true); ok {
 			t.Error("the start of a run is sent that was blocked while it waited")
 		}
 	})
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -97,7 +97,7 @@
 		}
 		err := r.callWorker(ctx, func(call context.Context) error {
 			var sendable bool
-			if mayHaveStarted, sendable = r.startSent(c, key, mayHaveStarted); !sendable {
+			if mayHaveStarted, sendable = r.prepareStart(c, key, mayHaveStarted); !sendable {
 				return errNotSendable
 			}
 			return r.worker.Start(call, c, o, until)
