--- a/internal/net/lwhttp/close_test.go
+++ b/internal/net/lwhttp/close_test.go
@@ -88,7 +88,8 @@
 	for range callers {
 		wg.Go(func() {
 			for range requests {
-				if sendClosing(s.Address()) != nil {
+				if err := sendClosing(s.Address()); err != nil {
+					t.Log(err)
 					lost.Add(1)
 				}
 			}
