Show lasting tasks that wait for a sound worker

After a worker has failed all that it starts for 6.5 s, it gets one start a second, since only an end as done would end the suspicion. Lasting tasks that can run nowhere else have nothing running for up to 20 s beside an idle, sound worker.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Plays the case against target/lavenderweir and writes record.txt beside this file.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-standin ] && [ -x target/lavenderweir ] || exit 2
+exec target/review-standin suspicion review/5/record.txt
