Show a done task that runs again after its worker restarts

A worker loses power for 0.8 s and starts again under its id. Its agent sees only time-outs, so it goes on as if the same incarnation answered: starts reach the new one, and the acknowledgement of the earlier one's ends makes it forget the ends of these runs. The leader starts the tasks again after they were done.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/lavenderweir ] || exit 2
-exec target/review-standin reborn review/1/record.txt
+exec target/review-standin cursor review/1/record.txt
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -161,3 +161,13 @@
 	c.rec.add("client: GET %s%s answered %s", prefix, id, state)
 	return state
 }
+
+// awaitCompleted waits until a job is completed.
+func (c *cluster) awaitCompleted(prefix, id string, limit time.Duration) error {
+	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(time.Second) {
+		if c.state(prefix, id) == "completed" {
+			return nil
+		}
+	}
+	return errors.New("job " + id + " is not completed")
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,8 @@
 	"tail":      playTail,
 	"suspicion": playSuspicion,
 	"dropped":   playDropped,
-	"reborn":    playReborn,
+	"cursor":    playCursor,
+	"dark":      playDark,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -29,21 +31,22 @@
 	memoryMB int
 	onStart  func(task string, run int) // called after a task has begun
 	onEnd    func(task string, run int, how string)
-	onLate   func(task string) // called when a start is left unanswered
+	onNoted  func(task string, run int, how string) // called when ack_cursor reaches an end
 
 	cluster *cluster
 	address string
 	agent   string
 	zone    string
+	silence time.Duration // from the start of a boot until its first heartbeat
 
-	mu     sync.Mutex
-	failed bool // fails all that it starts
-	late   bool // leaves the next start unanswered and carries it out late
-	sameID bool // the next boot has the id of the one before
-	loaded bool // the serving tasks have the load of their busy time
-	boots  int
-	lastID string // of the newest boot
-	boot1  *boot  // the current boot; nil while the worker is down
+	mu      sync.Mutex
+	failed  bool // fails all that it starts
+	sameID  bool // the next boot has the id of the one before
+	loaded  bool // the serving tasks have the load of their busy time
+	boots   int
+	lastID  string       // of the newest boot
+	server  *http.Server // nil while connections are refused
+	running *boot        // the current boot; nil while the worker is down
 }
 
 func newWorker(name string, labels ...string) *worker {
@@ -52,12 +55,11 @@
 
 // boot is one life of a worker.
 type boot struct {
-	worker   *worker
-	id       string
-	born     int64
-	began    time.Time
-	listener net.Listener
-	server   *http.Server
+	worker *worker
+	id     string
+	born   int64
+	began  time.Time
+	mux    *http.ServeMux
 
 	mu      sync.Mutex
 	ended   bool
@@ -91,37 +93,61 @@
 func (w *worker) boot() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l, err := net.Listen("tcp", w.address)
-	if err != nil {
-		return err
+	if w.server == nil {
+		l, err := net.Listen("tcp", w.address)
+		if err != nil {
+			return err
+		}
+		w.server = &http.Server{Handler: http.HandlerFunc(w.serve), ReadHeaderTimeout: time.Second, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, bootKey{}, w.current())
+		}}
+		server := w.server
+		go func() { _ = server.Serve(l) }()
 	}
 	w.boots++
 	b := &boot{
-		worker: w, id: fmt.Sprintf("i-%s-%d", w.name, w.boots), born: time.Now().UnixMilli(), began: time.Now(), listener: l,
+		worker: w, id: fmt.Sprintf("i-%s-%d", w.name, w.boots), born: time.Now().UnixMilli(), began: time.Now(), mux: http.NewServeMux(),
 		runs: make(map[string]*run), highest: make(map[string]int), changed: make(chan struct{}),
 	}
 	if w.sameID {
 		b.id = w.lastID
 	}
 	w.lastID = b.id
-	mux := http.NewServeMux()
+	mux := b.mux
 	mux.HandleFunc("POST /run-start", b.handle((*boot).start))
 	mux.HandleFunc("POST /run-stop", b.handle((*boot).stop))
 	mux.HandleFunc("POST /hold", b.handle((*boot).hold))
 	mux.HandleFunc("POST /pace", b.handle((*boot).pace))
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
-	b.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	w.boot1 = b
+	w.running = b
 	w.cluster.rec.add("worker %s boots as %s, labels %v", w.name, b.id, w.labels)
-	go func() { _ = b.server.Serve(l) }()
 	go b.loop()
 	return nil
 }
 
+// bootKey is the key of the boot that accepted a connection, in its context.
+type bootKey struct{}
+
+// serve passes a request to the boot that accepted its connection. While the machine is dark
+// nothing is answered, and a later boot resets the connections of earlier ones.
+func (w *worker) serve(rw http.ResponseWriter, r *http.Request) {
+	accepted, _ := r.Context().Value(bootKey{}).(*boot)
+	switch current := w.current(); {
+	case accepted == nil || current == nil:
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case accepted != current:
+		panic(http.ErrAbortHandler)
+	default:
+		current.mux.ServeHTTP(rw, r)
+	}
+}
+
 func (w *worker) current() *boot {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.boot1
+	return w.running
 }
 
 func (w *worker) registered() bool {
@@ -146,11 +172,24 @@
 	w.loaded = loaded
 }
 
-// crash ends the current boot and all that it runs.
+// crash ends the current boot and all that it runs. The worker refuses connections.
 func (w *worker) crash() {
+	w.darken()
+	w.mu.Lock()
+	server := w.server
+	w.server = nil
+	w.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+// darken ends the current boot and all that it runs. The machine answers nothing and closes
+// no connection, as after a loss of power.
+func (w *worker) darken() {
 	w.mu.Lock()
-	b := w.boot1
-	w.boot1 = nil
+	b := w.running
+	w.running = nil
 	w.mu.Unlock()
 	if b == nil {
 		return
@@ -164,15 +203,18 @@
 	for task, r := range lost {
 		w.ended(task, r.id, "lost")
 	}
-	_ = b.server.Close()
 }
 
 func (w *worker) shutDown() {
-	if b := w.current(); b != nil {
-		b.mu.Lock()
-		b.ended = true
-		b.mu.Unlock()
-		_ = b.server.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running != nil {
+		w.running.mu.Lock()
+		w.running.ended = true
+		w.running.mu.Unlock()
+	}
+	if w.server != nil {
+		_ = w.server.Close()
 	}
 }
 
@@ -217,16 +259,12 @@
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		if r.URL.Path == "/run-start" && b.worker.drawLate() {
-			b.worker.carryOutLate(q, b.id)
-			time.Sleep(lateDelay)
-			panic(http.ErrAbortHandler)
-		}
 		a := do(b, q)
 		b.mu.Lock()
 		ended := b.ended
 		b.mu.Unlock()
 		if ended {
+			<-r.Context().Done() // a dark machine closes no connection
 			panic(http.ErrAbortHandler)
 		}
 		a.fields["clock_ms"], a.fields["born"] = int64(b.clock()), b.born
@@ -236,38 +274,6 @@
 	}
 }
 
-// lateDelay is how much later an unanswered order is carried out; the bench names 2 to 12 s.
-const lateDelay = 2500 * time.Millisecond
-
-// setLate has the next start left unanswered and carried out late.
-func (w *worker) setLate() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.late = true
-}
-
-func (w *worker) drawLate() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	late := w.late
-	w.late = false
-	return late
-}
-
-// carryOutLate carries out a start later, on the boot that has the id for which it is meant.
-func (w *worker) carryOutLate(q request, id string) {
-	w.cluster.rec.add("worker %s leaves the start of %s run %d unanswered", w.name, q.Task, q.Run)
-	time.AfterFunc(lateDelay, func() {
-		b := w.current()
-		if b == nil || b.id != id {
-			return
-		}
-		a := b.start(q)
-		w.cluster.rec.add("worker %s carries out the start of %s run %d late: %d %v", w.name, q.Task, q.Run, a.status, a.fields)
-	})
-	w.onLate(q.Task)
-}
-
 // setSameID has the next boots keep the id.
 func (w *worker) setSameID() {
 	w.mu.Lock()
@@ -354,7 +360,7 @@
 		return refuse("fence")
 	}
 	b.extend(q.UntilMS)
-	b.ends = slices.DeleteFunc(b.ends, func(e end) bool { return e.number <= q.Cursor })
+	b.forget(q.Cursor)
 	if wait := min(time.Duration(q.WaitMS)*time.Millisecond, maxWait); len(b.ends) == 0 && wait > 0 {
 		changed := b.changed
 		b.mu.Unlock()
@@ -377,6 +383,20 @@
 	return response{http.StatusOK, map[string]any{"running": running, "finished": finished}}
 }
 
+// forget forgets the ends that are taken note of. The caller holds mu.
+func (b *boot) forget(cursor int64) {
+	b.ends = slices.DeleteFunc(b.ends, func(e end) bool {
+		if e.number > cursor {
+			return false
+		}
+		b.worker.cluster.rec.add("worker %s: ack_cursor %d reaches end %d of %s run %d, %s", b.worker.name, cursor, e.number, e.task, e.run, e.how)
+		if b.worker.onNoted != nil {
+			b.worker.onNoted(e.task, e.run, e.how)
+		}
+		return true
+	})
+}
+
 // progress returns the percentage of the work that is done; a task that lasts is at work
 // at 100.
 func (r *run) progress() int {
@@ -416,7 +436,7 @@
 
 // loop ends runs and sends heartbeats until the boot has ended.
 func (b *boot) loop() {
-	next := time.Now()
+	next := b.began.Add(b.worker.silence)
 	for {
 		time.Sleep(tickInterval)
 		b.mu.Lock()
