Show two runs of a task after a restart of its worker and a change of leader

Review case 3, from the entry TestLongestLeaseIsCountedByNextLeader. The leader that knows of the longer lease of a restarted worker is killed, the worker's machine is cut off, and the next leader starts the tasks elsewhere after the usual lease.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/lavenderweir ] || exit 2
-exec target/review-standin crashes review/3/record.txt
+exec target/review-standin nextleader review/3/record.txt
--- a/review/standin/case_dark.go
+++ b/review/standin/case_dark.go
@@ -24,6 +24,19 @@
 // off from the control machines. Whether a start reaches the worker before its agent polls
 // it is a matter of chance, so it is played on several workers, one after the other.
 func playDark(c *cluster, trouble bool) (string, error) {
+	return playDarkRounds(c, trouble, func(round int, part *partition) error {
+		time.Sleep(darkReport)
+		part.begin()
+		c.rec.add("agent-%d is cut off from the control machines for %s", round+1, darkCut)
+		time.Sleep(darkCut)
+		part.heal()
+		c.rec.add("agent-%d is connected", round+1)
+		return nil
+	})
+}
+
+// playDarkRounds plays what follows the loss of power on one worker after the other.
+func playDarkRounds(c *cluster, trouble bool, then func(round int, part *partition) error) (string, error) {
 	const prefix = "/builds/"
 	o := overlap{running: make(map[string]string)}
 	workers := make([]*worker, darkWorkers)
@@ -45,7 +58,7 @@
 	}
 	time.Sleep(10 * time.Second)
 	for i := range parts {
-		if err := c.playDarkRound(prefix, i, workers[i], parts[i], trouble); err != nil {
+		if err := c.playDarkRound(prefix, i, workers[i], trouble, func() error { return then(i, parts[i]) }); err != nil {
 			return "", err
 		}
 		if broken := o.result(); broken != "" || !trouble {
@@ -56,7 +69,7 @@
 }
 
 // playDarkRound plays the disruption once, on one worker and its machine.
-func (c *cluster) playDarkRound(prefix string, round int, w *worker, part *partition, trouble bool) error {
+func (c *cluster) playDarkRound(prefix string, round int, w *worker, trouble bool, then func() error) error {
 	if trouble {
 		w.setSameID()
 		w.silence = darkSilence
@@ -75,12 +88,9 @@
 		time.Sleep(darkGap)
 	}
 	if trouble {
-		time.Sleep(darkReport)
-		part.begin()
-		c.rec.add("agent-%d is cut off from the control machines for %s", round+1, darkCut)
-		time.Sleep(darkCut)
-		part.heal()
-		c.rec.add("agent-%d is connected", round+1)
+		if err := then(); err != nil {
+			return err
+		}
 	}
 	for i := range darkJobs {
 		if err := c.awaitCompleted(prefix, darkID(round, i), time.Minute); err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,12 +26,13 @@
 type scenario func(c *cluster, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"crashes":   playCrashes,
-	"tail":      playTail,
-	"suspicion": playSuspicion,
-	"dropped":   playDropped,
-	"cursor":    playCursor,
-	"dark":      playDark,
+	"crashes":    playCrashes,
+	"tail":       playTail,
+	"suspicion":  playSuspicion,
+	"dropped":    playDropped,
+	"cursor":     playCursor,
+	"nextleader": playNextLeader,
+	"dark":       playDark,
 }
 
 func main() {
