Log who answers for an announced worker, and in whose favour one is given up

Change: the agent's line "worker announced" says who answered at the address, how long the earlier incarnation had been silent and what was left of its lease. Reports say whether the incarnation has answered its agent, which nothing rests on yet. The leader's lines worker_known and worker_given_up name the incarnation that follows, the agent that reported it and whether it had answered. Ignored announcements are counted.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -294,7 +294,10 @@
 		zap.String("worker", string(x.Worker)), zap.String("reason", x.Reason), zap.Duration("age", x.Age), zap.Duration("slack", x.Slack), zap.Int("percent", x.CPUPercent), zap.Float64("suspicion", x.Suspicion), zap.Int("crashes", x.Crashes),
 	}
 	if x.Kind == lwdispatch.DecidedWorkerRemoved {
-		fields = append(fields, zap.Duration("lease_left", x.LeaseLeft), zap.Int("released", x.Released))
+		fields = append(fields, zap.Duration("lease_left", x.LeaseLeft), zap.Int("released", x.Released), zap.Int64("born", int64(x.Removed.StartedAt)))
+	}
+	if next := x.Successor; next.Agent != "" {
+		fields = append(fields, zap.Dict("reported", zap.String("worker", string(next.Incarnation.Worker)), zap.Int64("born", int64(next.Incarnation.StartedAt)), zap.String("agent", next.Agent), zap.Bool("answered", next.Answered)))
 	}
 	log.Info(string(x.Kind), fields...)
 }
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -12,8 +12,9 @@
 // findOrAddWorker returns the worker of a report, added if it is unknown. A new
 // incarnation replaces older ones with the same agent or id; it returns nil for an
 // incarnation that is itself older than a known one.
-func (c *Core) findOrAddWorker(info WorkerInfo, agentKnowsCrashes bool) *worker {
-	incarnation := info.Incarnation
+func (c *Core) findOrAddWorker(m Report) *worker {
+	info, incarnation := m.Info, m.Info.Incarnation
+	next := Successor{incarnation, info.Agent, m.Answered}
 	if w := c.workers[incarnation]; w != nil {
 		w.info.Agent = info.Agent
 		c.incarnationByAgent[info.Agent] = incarnation
@@ -25,9 +26,9 @@
 		if old.StartedAt > incarnation.StartedAt {
 			return nil
 		}
-		c.inferCrash(old, c.lastReportOf(old), agentKnowsCrashes)
+		c.inferCrash(old, c.lastReportOf(old), m.KnowsCrashes)
 		unconfirmed = c.takeUnconfirmed(old, incarnation)
-		c.removeWorker(old, "a newer life has begun on its machine")
+		c.removeWorker(old, "a newer life has begun on its machine", next)
 	}
 	for other := range c.workers {
 		if other.Worker == incarnation.Worker {
@@ -35,12 +36,12 @@
 				return nil
 			}
 			unconfirmed = append(unconfirmed, c.takeUnconfirmed(other, incarnation)...)
-			c.removeWorker(other, "a newer incarnation has the same id")
+			c.removeWorker(other, "a newer incarnation has the same id", next)
 		}
 	}
 	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now}
-	m, onRoster := c.missing[incarnation]
-	w.longLease = hadID || m.longLease
+	awaitedEntry, onRoster := c.missing[incarnation]
+	w.longLease = hadID || awaitedEntry.longLease
 	c.countLongLease(w)
 	c.renewLease(w)
 	if awaited && !onRoster {
@@ -59,10 +60,10 @@
 		}
 		return 1
 	})
-	c.dismissReplaced(info)
+	c.dismissReplaced(next)
 	c.effects.Dismiss = slices.DeleteFunc(c.effects.Dismiss, func(x lwjob.WorkerIncarnation) bool { return x == incarnation }) // it was removed and has returned
 	c.effects.Enrol = append(c.effects.Enrol, lwjob.RosterEntry{Incarnation: incarnation, Agent: info.Agent, LongLease: w.longLease})
-	c.logDecision(Decision{Kind: DecidedWorkerAdded, Worker: incarnation.Worker, Reason: "first report"})
+	c.logDecision(Decision{Kind: DecidedWorkerAdded, Worker: incarnation.Worker, Reason: "first report", Successor: next})
 	return w
 }
 
@@ -109,12 +110,12 @@
 
 // dismissReplaced dismisses missing incarnations that a newer one with the same
 // agent has replaced.
-func (c *Core) dismissReplaced(info WorkerInfo) {
+func (c *Core) dismissReplaced(next Successor) {
 	for incarnation, m := range c.missing {
-		if m.agent == info.Agent && incarnation != info.Incarnation && incarnation.StartedAt <= info.Incarnation.StartedAt {
+		if m.agent == next.Agent && incarnation != next.Incarnation && incarnation.StartedAt <= next.Incarnation.StartedAt {
 			delete(c.missing, incarnation)
 			c.effects.Dismiss = append(c.effects.Dismiss, incarnation)
-			c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: "a newer life has begun on its machine"})
+			c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: "a newer life has begun on its machine", LeaseLeft: max(0, m.leaseEnd-c.now), Removed: incarnation, Successor: next})
 		}
 	}
 }
@@ -122,11 +123,11 @@
 // processEnded removes an incarnation whose process has ended, also a missing one.
 func (c *Core) processEnded(incarnation lwjob.WorkerIncarnation) {
 	const reason = "its process has ended"
-	c.removeWorker(incarnation, reason)
+	c.removeWorker(incarnation, reason, Successor{})
 	if _, ok := c.missing[incarnation]; ok {
 		delete(c.missing, incarnation)
 		c.effects.Dismiss = append(c.effects.Dismiss, incarnation)
-		c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: reason})
+		c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: reason, Removed: incarnation})
 	}
 }
 
@@ -205,7 +206,7 @@
 func (c *Core) Tick() {
 	for _, w := range slices.Clone(c.sortedWorkers) {
 		if c.now >= w.leaseEnd {
-			c.removeWorker(w.info.Incarnation, "its lease has ended")
+			c.removeWorker(w.info.Incarnation, "its lease has ended", Successor{})
 			continue
 		}
 		c.endLongLease(w)
@@ -217,7 +218,7 @@
 		if c.now >= m.leaseEnd {
 			delete(c.missing, incarnation)
 			c.effects.Dismiss = append(c.effects.Dismiss, incarnation)
-			c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: "it has not reported to this leader"})
+			c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: "it has not reported to this leader", Removed: incarnation})
 		}
 	}
 	for _, w := range c.sortedWorkers {
@@ -235,13 +236,13 @@
 }
 
 // removeWorker removes a worker incarnation on which nothing runs any more, and
-// releases its runs.
-func (c *Core) removeWorker(incarnation lwjob.WorkerIncarnation, reason string) {
+// releases its runs. The successor is the zero value if none has taken its place.
+func (c *Core) removeWorker(incarnation lwjob.WorkerIncarnation, reason string, next Successor) {
 	w := c.workers[incarnation]
 	if w == nil {
 		return
 	}
-	c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: reason, Age: c.now - w.reportedAt, LeaseLeft: max(0, w.leaseEnd-c.now), Released: len(w.runs)})
+	c.logDecision(Decision{Kind: DecidedWorkerRemoved, Worker: incarnation.Worker, Reason: reason, Age: c.now - w.reportedAt, LeaseLeft: max(0, w.leaseEnd-c.now), Released: len(w.runs), Removed: incarnation, Successor: next})
 	delete(c.workers, incarnation)
 	c.lastTokens[incarnation.Worker] = lastToken{incarnation, max(c.lastTokens[incarnation.Worker].token, w.token)}
 	delete(c.missing, incarnation)
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -22,7 +22,7 @@
 	if m.Unresponsive && !m.Fenced && c.workers[m.Info.Incarnation] == nil {
 		return Grant{CrashesRecorded: recorded} // it is added once it answers its agent
 	}
-	w := c.findOrAddWorker(m.Info, m.KnowsCrashes)
+	w := c.findOrAddWorker(m)
 	if w == nil {
 		return Grant{CrashesRecorded: recorded}
 	}
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -117,6 +117,7 @@
 	Refused      []Refusal       `json:"refused,omitempty"`
 	ListsAge     lwunit.Duration `json:"age,omitempty"`           // age of the lists
 	Fenced       bool            `json:"fenced,omitempty"`        // the worker has received a higher token than the agent has
+	Answered     bool            `json:"answered,omitempty"`      // the incarnation has answered the agent and stated its start time; agents of older versions never say so
 	KnowsCrashes bool            `json:"knows_crashes,omitempty"` // the agent reports the crashes of its worker
 	Crashes      []Crash         `json:"crashes,omitempty"`       // that no leader has said to be recorded
 }
@@ -238,13 +239,23 @@
 	Run        lwjob.RunID
 	Worker     lwunit.WorkerID
 	Reason     string
-	Age        time.Duration // age of the report that the decision rests on
-	Slack      time.Duration // until the job would miss its latency objective
-	CPUPercent int           // CPU share in percent of the declared processors, for DecidedCPUShare
-	Suspicion  float64       // probability that the task crashes each worker that starts it, if workers have crashed under it
-	Crashes    int           // of workers under the task
-	LeaseLeft  time.Duration // until all runs of a removed worker would have ended by its lease
-	Released   int           // runs that were released with a removed worker
+	Age        time.Duration           // age of the report that the decision rests on
+	Slack      time.Duration           // until the job would miss its latency objective
+	CPUPercent int                     // CPU share in percent of the declared processors, for DecidedCPUShare
+	Suspicion  float64                 // probability that the task crashes each worker that starts it, if workers have crashed under it
+	Crashes    int                     // of workers under the task
+	LeaseLeft  time.Duration           // until all runs of a removed worker would have ended by its lease
+	Released   int                     // runs that were released with a removed worker
+	Removed    lwjob.WorkerIncarnation // worker that was removed
+	Successor  Successor               // incarnation in whose favour a worker was removed, or not added
+}
+
+// Successor is an incarnation that a report names while an earlier one with its agent or id is
+// known.
+type Successor struct {
+	Incarnation lwjob.WorkerIncarnation
+	Agent       string // that has reported it
+	Answered    bool   // it has answered that agent
 }
 
 // Effects are the actions that the caller must carry out.
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -202,6 +202,7 @@
 	}
 	wasUnresponsive, wasGone := r.failedPolls >= unresponsiveAfterPolls, r.refusedConns >= goneAfterRefusals
 	r.failedPolls, r.refusedConns, r.endNoted, r.fenced = 0, 0, false, false
+	r.answered = r.answered || lists.StartedAt == c.Incarnation.StartedAt
 	for _, e := range lists.Ends {
 		key := runKey{e.End.Task, e.End.Run}
 		if !r.knownEnds[key] {
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -35,10 +35,13 @@
 )
 
 var (
-	reportsSent    = lwmetric.Counter("runner_reports_total")
-	reportsFailed  = lwmetric.Counter("runner_reports_failed_total")
-	pollsDone      = lwmetric.Counter("runner_holds_total")
-	pollsFailed    = lwmetric.Counter("runner_holds_failed_total")
+	reportsSent   = lwmetric.Counter("runner_reports_total")
+	reportsFailed = lwmetric.Counter("runner_reports_failed_total")
+	pollsDone     = lwmetric.Counter("runner_holds_total")
+	pollsFailed   = lwmetric.Counter("runner_holds_failed_total")
+
+	announcementsIgnored = lwmetric.Counter("runner_announcements_ignored_total")
+
 	ordersSent     = lwmetric.Counter("runner_starts_total") // counts stops and CPU limits too
 	startsRepeated = lwmetric.Counter("runner_starts_repeated_total")
 	orderLatency   = lwmetric.NewHistogram("runner_start_latency") // of stops and CPU limits too
@@ -67,6 +70,7 @@
 	replaced          map[lwjob.WorkerIncarnation]bool // incarnations that a newer one has replaced
 	announced         bool                             // a worker has announced itself; info holds its newest announcement
 	announceSeq       int64                            // of the newest announcement
+	answered          bool                             // the incarnation has answered a call and stated its start time
 	token             lwdispatch.Token                 // highest fencing token received from a leader
 	maxToken          lwdispatch.Token                 // highest one for any incarnation
 	leaseDeadline     time.Duration                    // end of the granted lease, on clock
@@ -125,7 +129,7 @@
 	r.held = make(map[runKey]heldRun)
 	r.brokenAt, r.answeredAt, r.silent = 0, 0, false
 	r.ended, r.replacedByOtherID, r.endNoted = false, false, false
-	r.fenced, r.deregistered = false, false
+	r.fenced, r.deregistered, r.answered = false, false, false
 	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.refusalReasons = make(map[runKey]lwdispatch.RefusalReason)
@@ -153,7 +157,9 @@
 // that worker.
 func (r *Runner) Announce(info lwdispatch.WorkerInfo, seq int64) {
 	info.Agent, info.Seq = r.name, seq
-	if r.isDenied(info.Incarnation) {
+	answer := r.ask(info.Incarnation)
+	if answer == answerOther {
+		announcementsIgnored.Add(1)
 		r.log.Warn("announcement ignored", zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)), zap.String("reason", "another worker answers at the address"))
 		return
 	}
@@ -168,7 +174,9 @@
 			r.mu.Unlock()
 			return
 		}
+		fields := []zap.Field{zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)), zap.String("answer", string(answer))}
 		if r.announced {
+			fields = append(fields, zap.Dict("earlier", append(r.lastContact(), zap.Int64("born", int64(r.info.Incarnation.StartedAt)), zap.Bool("ended", r.ended))...))
 			r.replaced[r.info.Incarnation] = true
 			if !r.endNoted {
 				r.noteCrash("a newer incarnation announced itself")
@@ -176,7 +184,8 @@
 		}
 		r.resetIncarnation()
 		r.announced, r.info, r.announceSeq = true, info, seq
-		r.log.Info("worker announced", zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)))
+		r.answered = answer == answerOwn
+		r.log.Info("worker announced", fields...)
 	case seq <= r.announceSeq:
 		r.mu.Unlock()
 		return
@@ -191,15 +200,25 @@
 	r.requestReport(true)
 }
 
-// isDenied reports whether another incarnation than a newly announced one answers at the
-// worker's address. Without an answer it is not known.
-func (r *Runner) isDenied(i lwjob.WorkerIncarnation) bool {
+// answer says who answers a probe that is meant for an incarnation.
+type answer string
+
+const (
+	answerOwn    answer = "own"          // the incarnation itself
+	answerOther  answer = "other"        // another incarnation
+	answerFenced answer = "fenced"       // a worker with its id, which does not say which incarnation it is
+	answerNone   answer = "none"         // nobody
+	notAsked     answer = "known_before" // the incarnation was known, so nobody was asked
+)
+
+// ask probes the worker's address for an incarnation that has been announced.
+func (r *Runner) ask(i lwjob.WorkerIncarnation) answer {
 	r.mu.Lock()
 	known := r.announced && r.info.Incarnation == i || r.replaced[i]
 	token := r.token
 	r.mu.Unlock()
 	if known {
-		return false
+		return notAsked
 	}
 	lists, err := r.probe(Call{Incarnation: i})
 	refused, isRefusal := errors.AsType[*RefusedError](err)
@@ -207,7 +226,16 @@
 		lists, err = r.probe(Call{i, token}) // it has received a token, so a call with none tells nothing
 		refused, isRefusal = errors.AsType[*RefusedError](err)
 	}
-	return isRefusal && refused.OtherIncarnation || err == nil && lists.ofOther(i)
+	switch {
+	case isRefusal && refused.OtherIncarnation || err == nil && lists.ofOther(i):
+		return answerOther
+	case isRefusal && refused.Reason == lwdispatch.RefusedFence:
+		return answerFenced
+	case err == nil && lists.StartedAt == i.StartedAt:
+		return answerOwn
+	default:
+		return answerNone
+	}
 }
 
 // hasReturned reports whether an incarnation that another one has replaced answers at the worker's
