Take an incarnation for ended only if another one answers, at its agent

Cause: while a worker was silent for 300 ms its agent believed any announcement of a later incarnation, since nothing contradicted it. It counted a crash against the tasks of the worker, reported the other incarnation, and the leader released all runs of the first, which went on.

Change: an announcement of another incarnation is only a reason to ask the worker. The other one is served once it answers on a new connection with its own start time, which the earlier one cannot have survived. One that did not answer is asked again when a poll fails. Nothing rests on the order of start times any more, and no list of replaced incarnations is kept. An agent that has just been started serves the first incarnation that it hears of, and gives it up for one that answers, or that fences the probe.

--- a/internal/worker/lwrunner/crash_test.go
+++ b/internal/worker/lwrunner/crash_test.go
@@ -45,6 +45,7 @@
 		w.exit()
 		time.Sleep(2 * time.Second)
 		next := lwjob.WorkerIncarnation{Worker: "w2", StartedAt: 9}
+		w.reboot(next.StartedAt)
 		r.Announce(lwdispatch.WorkerInfo{Incarnation: next, Service: "s"}, 1)
 		l.mu.Lock()
 		l.unavailable = false
@@ -141,6 +142,7 @@
 					setPollError(answer)
 					time.Sleep(200 * time.Millisecond)
 				}
+				w.reboot(9)
 				r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w2", StartedAt: 9}, Service: "s"}, 1)
 				time.Sleep(time.Second)
 				c := l.lastReport().Crashes
@@ -170,6 +172,7 @@
 		time.Sleep(time.Second)
 		w.exit()
 		time.Sleep(time.Second)
+		w.reboot(9)
 		r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w2", StartedAt: 9}, Service: "s"}, 1)
 		time.Sleep(time.Second)
 		l.mu.Lock()
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -41,6 +41,7 @@
 		newEnd, err := r.poll(ctx, r.pollWait())
 		switch {
 		case err != nil:
+			r.askAgain()
 			sleep(ctx, orderRetryPause)
 		case !newEnd:
 			sleep(ctx, pollPause)
@@ -202,7 +203,7 @@
 	}
 	wasUnresponsive, wasGone := r.failedPolls >= unresponsiveAfterPolls, r.refusedConns >= goneAfterRefusals
 	r.failedPolls, r.refusedConns, r.endNoted, r.fenced = 0, 0, false, false
-	r.answered = r.answered || lists.StartedAt == c.Incarnation.StartedAt
+	r.answered, r.unanswered = r.answered || lists.StartedAt == c.Incarnation.StartedAt, nil
 	for _, e := range lists.Ends {
 		key := runKey{e.End.Task, e.End.Run}
 		if !r.knownEnds[key] {
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -64,18 +64,18 @@
 	clock      lwclock.Clock
 	reportDue  chan struct{} // signals that a report is due
 	orderSlots chan struct{} // bounds the parallel order calls to the worker
+	asking     chan struct{} // held while the worker is asked about an announced incarnation, until the answer has taken effect
 
 	mu                sync.Mutex
 	info              lwdispatch.WorkerInfo
-	replaced          map[lwjob.WorkerIncarnation]bool // incarnations that a newer one has replaced
-	announced         bool                             // a worker has announced itself; info holds its newest announcement
-	announceSeq       int64                            // of the newest announcement
-	answered          bool                             // the incarnation has answered a call and stated its start time
-	token             lwdispatch.Token                 // highest fencing token received from a leader
-	maxToken          lwdispatch.Token                 // highest one for any incarnation
-	leaseDeadline     time.Duration                    // end of the granted lease, on clock
-	evacuated         bool                             // the domain of the worker is evacuated, by the last reply to a report
-	cursor            int64                            // ends up to it are recorded by control
+	announced         bool                   // an incarnation is served; info holds its newest announcement
+	unanswered        *lwdispatch.WorkerInfo // last announced incarnation that did not answer a probe; nil once the one that is served answers
+	answered          bool                   // the incarnation has answered a call and stated its start time
+	token             lwdispatch.Token       // highest fencing token received from a leader
+	maxToken          lwdispatch.Token       // highest one for any incarnation
+	leaseDeadline     time.Duration          // end of the granted lease, on clock
+	evacuated         bool                   // the domain of the worker is evacuated, by the last reply to a report
+	cursor            int64                  // ends up to it are recorded by control
 	lists             RunLists
 	listsToken        lwdispatch.Token                    // token under which lists were read; 0 before the first answer
 	listsRequestedAt  time.Duration                       // when the call that returned lists was sent
@@ -113,7 +113,7 @@
 func New(name string, w Worker, l Leader, log *zap.Logger) *Runner {
 	r := &Runner{
 		name: name, pollConns: &connPool{worker: w}, orderConns: &connPool{worker: w}, leader: l, log: log, decisions: lwlog.NewRateLimitedLogger(log, decisionLinesPerSecond), clock: lwclock.New(),
-		reportDue: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxParallelOrders), replaced: make(map[lwjob.WorkerIncarnation]bool),
+		reportDue: make(chan struct{}, 1), orderSlots: make(chan struct{}, maxParallelOrders), asking: make(chan struct{}, 1),
 		reportTimeout: minReportTimeout,
 	}
 	r.resetIncarnation()
@@ -129,7 +129,7 @@
 	r.held = make(map[runKey]heldRun)
 	r.brokenAt, r.answeredAt, r.silent = 0, 0, false
 	r.ended, r.replacedByOtherID, r.endNoted = false, false, false
-	r.fenced, r.deregistered, r.answered = false, false, false
+	r.fenced, r.deregistered, r.answered, r.unanswered = false, false, false, nil
 	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.refusalReasons = make(map[runKey]lwdispatch.RefusalReason)
@@ -150,78 +150,126 @@
 	r.orderConns.close()
 }
 
-// Announce handles an announcement of a worker; seq rises with each
-// announcement of an incarnation. One of an older incarnation, or older than
-// the newest of this one, is ignored, and a drain is never undone. One of another
-// incarnation than the worker's at the address is ignored, too: it would end all runs of
-// that worker.
+// Announce handles an announcement, which anybody may have sent; seq rises with each
+// announcement of an incarnation. One of the incarnation that is served describes it, unless it is older
+// than the newest, and never undoes a drain. One of another incarnation is only a reason to ask the
+// worker: the other one is served once it answers, which shows that the earlier one has ended.
 func (r *Runner) Announce(info lwdispatch.WorkerInfo, seq int64) {
 	info.Agent, info.Seq = r.name, seq
-	answer := r.ask(info.Incarnation)
-	if answer == answerOther {
-		announcementsIgnored.Add(1)
-		r.log.Warn("announcement ignored", zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)), zap.String("reason", "another worker answers at the address"))
+	if r.describe(info) {
+		r.requestReport(true)
 		return
 	}
-	returned := r.hasReturned(info.Incarnation)
+	r.consider(info)
+}
+
+// describe applies an announcement of the incarnation that is served. It returns false if the
+// incarnation must be asked first: it is another one, or has not answered yet.
+func (r *Runner) describe(info lwdispatch.WorkerInfo) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.announced || info.Incarnation != r.info.Incarnation {
+		return false
+	}
+	if info.Seq <= r.info.Seq {
+		return true
+	}
+	if info.Draining != r.info.Draining {
+		r.log.Info("worker drains", zap.String("worker", string(info.Incarnation.Worker)), zap.Bool("draining", info.Draining))
+	}
+	info.Draining = info.Draining || r.info.Draining
+	r.info = info
+	return r.answered
+}
+
+// consider asks the worker about an incarnation that has not answered yet, and serves it
+// if it may take the place of the one that is served.
+func (r *Runner) consider(info lwdispatch.WorkerInfo) {
+	r.asking <- struct{}{} // an answer tells only what was before it, so none may take effect after a later one
+	defer func() { <-r.asking }()
+	answer := r.ask(info.Incarnation)
 	r.mu.Lock()
 	switch {
-	case !r.announced || info.Incarnation != r.info.Incarnation:
-		if returned && r.ended {
-			delete(r.replaced, info.Incarnation)
-		}
-		if r.replaced[info.Incarnation] || (r.announced && !r.ended && info.Incarnation.StartedAt < r.info.Incarnation.StartedAt) {
-			r.mu.Unlock()
-			return
-		}
-		fields := []zap.Field{zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)), zap.String("answer", string(answer))}
-		if r.announced {
-			fields = append(fields, zap.Dict("earlier", append(r.lastContact(), zap.Int64("born", int64(r.info.Incarnation.StartedAt)), zap.Bool("ended", r.ended))...))
-			r.replaced[r.info.Incarnation] = true
-			if !r.endNoted {
-				r.noteCrash("a newer incarnation announced itself")
-			}
-		}
-		r.resetIncarnation()
-		r.announced, r.info, r.announceSeq = true, info, seq
-		r.answered = answer == answerOwn
-		r.log.Info("worker announced", fields...)
-	case seq <= r.announceSeq:
+	case r.announced && info.Incarnation == r.info.Incarnation:
+		r.answered = r.answered || answer == answerOwn
+	case r.mayServe(answer):
+		r.serve(info, answer)
+	default:
+		r.ignore(info, answer)
 		r.mu.Unlock()
 		return
+	}
+	r.mu.Unlock()
+	r.requestReport(true)
+}
+
+// mayServe reports whether an incarnation, given the answer to a probe that was meant for it, may
+// be served from now on. The one before has ended if the other one has answered. Nothing is lost
+// with one that has never answered, as it was given nothing to run. The caller holds mu.
+func (r *Runner) mayServe(a answer) bool {
+	switch a {
+	case answerOwn:
+		return true
+	case answerFenced:
+		return r.clockReceivedAt == 0 || r.ended
 	default:
-		if info.Draining != r.info.Draining {
-			r.log.Info("worker drains", zap.String("worker", string(info.Incarnation.Worker)), zap.Bool("draining", info.Draining))
+		return !r.announced
+	}
+}
+
+// serve replaces the incarnation that is served. The caller holds mu.
+func (r *Runner) serve(info lwdispatch.WorkerInfo, a answer) {
+	fields := []zap.Field{zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)), zap.String("answer", string(a))}
+	if r.announced {
+		fields = append(fields, zap.Dict("earlier", append(r.lastContact(), zap.Int64("born", int64(r.info.Incarnation.StartedAt)), zap.Bool("ended", r.ended))...))
+		if !r.endNoted {
+			r.noteCrash("another incarnation answers in its place")
 		}
-		info.Draining = info.Draining || r.info.Draining
-		r.info, r.announceSeq = info, seq
 	}
+	r.resetIncarnation()
+	r.announced, r.info, r.answered = true, info, a == answerOwn
+	r.log.Info("worker announced", fields...)
+}
+
+// ignore notes that an announced incarnation is not served. One that did not answer is asked again
+// when a poll has failed. The caller holds mu.
+func (r *Runner) ignore(info lwdispatch.WorkerInfo, a answer) {
+	announcementsIgnored.Add(1)
+	r.decisions.Info("announcement_ignored", zap.String("worker", string(info.Incarnation.Worker)), zap.Int64("born", int64(info.Incarnation.StartedAt)), zap.String("answer", string(a)))
+	if a == answerNone {
+		r.unanswered = &info
+	}
+}
+
+// askAgain asks the worker about the last announced incarnation that did not answer, while the one
+// that is served does not answer either.
+func (r *Runner) askAgain() {
+	r.mu.Lock()
+	info := r.unanswered
+	r.unanswered = nil
 	r.mu.Unlock()
-	r.requestReport(true)
+	if info != nil {
+		r.consider(*info)
+	}
 }
 
 // answer says who answers a probe that is meant for an incarnation.
 type answer string
 
 const (
-	answerOwn    answer = "own"          // the incarnation itself
-	answerOther  answer = "other"        // another incarnation
-	answerFenced answer = "fenced"       // a worker with its id, which does not say which incarnation it is
-	answerNone   answer = "none"         // nobody
-	notAsked     answer = "known_before" // the incarnation was known, so nobody was asked
+	answerOwn    answer = "own"    // the incarnation itself
+	answerOther  answer = "other"  // another incarnation
+	answerFenced answer = "fenced" // a worker with its id, which does not say which incarnation it is
+	answerNone   answer = "none"   // nobody
 )
 
-// ask probes the worker's address for an incarnation that has been announced.
+// ask probes the worker's address, on a new connection, for an incarnation.
 func (r *Runner) ask(i lwjob.WorkerIncarnation) answer {
-	r.mu.Lock()
-	known := r.announced && r.info.Incarnation == i || r.replaced[i]
-	token := r.token
-	r.mu.Unlock()
-	if known {
-		return notAsked
-	}
 	lists, err := r.probe(Call{Incarnation: i})
 	refused, isRefusal := errors.AsType[*RefusedError](err)
+	r.mu.Lock()
+	token := r.maxToken
+	r.mu.Unlock()
 	if isRefusal && refused.Reason == lwdispatch.RefusedFence && token != 0 {
 		lists, err = r.probe(Call{i, token}) // it has received a token, so a call with none tells nothing
 		refused, isRefusal = errors.AsType[*RefusedError](err)
@@ -238,26 +286,6 @@
 	}
 }
 
-// hasReturned reports whether an incarnation that another one has replaced answers at the worker's
-// address, while that other one does not: an announcement that was not the worker's own, which
-// nothing contradicted at that time, must not keep the worker out.
-func (r *Runner) hasReturned(i lwjob.WorkerIncarnation) bool {
-	r.mu.Lock()
-	asks := r.replaced[i] && r.ended && i != r.info.Incarnation
-	r.mu.Unlock()
-	if !asks {
-		return false
-	}
-	lists, err := r.probe(Call{Incarnation: i})
-	if refused, ok := errors.AsType[*RefusedError](err); ok && refused.Reason == lwdispatch.RefusedFence {
-		r.mu.Lock()
-		token := r.maxToken
-		r.mu.Unlock()
-		lists, err = r.probe(Call{i, token})
-	}
-	return err == nil && lists.StartedAt == i.StartedAt
-}
-
 // probe reads the lists of whichever worker answers at the address, and changes nothing.
 func (r *Runner) probe(c Call) (RunLists, error) {
 	call, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
