Do not take a deregistration beside refused connections for an end

What callers could see: two runs of one task. Cause: a worker that had deregistered and refused three connections in a row was reported as ended, and the leader released its runs at once. Anybody can send a deregistration, and refused connections show that nothing listens, not that nothing runs.

Change: such a worker keeps its runs until its lease has ended or another one answers in its place.

--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -168,18 +168,11 @@
 	}
 }
 
-// processEnded reports whether the worker's process has ended for good: a worker with another
-// id answers at its address, or it has said that it ends and nothing listens. The caller holds
-// mu.
-func (r *Runner) processEnded() bool {
-	return r.replacedByOtherID || (r.deregistered && r.refusedConns >= goneAfterRefusals)
-}
-
 // holdsNothing reports whether nothing runs on a worker that cannot be reached. Refused
-// connections show that nothing listens, not that nothing runs, so unless its process has
-// ended for good its lease must have ended. The caller holds mu.
+// connections show that nothing listens, not that nothing runs, so unless a worker with another
+// id answers at its address its lease must have ended. The caller holds mu.
 func (r *Runner) holdsNothing() bool {
-	return r.processEnded() || (r.refusedConns >= goneAfterRefusals && r.leaseDeadline > 0 && r.clock.Now() >= r.leaseDeadline)
+	return r.replacedByOtherID || (r.refusedConns >= goneAfterRefusals && r.leaseDeadline > 0 && r.clock.Now() >= r.leaseDeadline)
 }
 
 // lastContact returns the fields of a log line about a worker that cannot be reached: the
--- a/internal/worker/lwrunner/report.go
+++ b/internal/worker/lwrunner/report.go
@@ -111,7 +111,7 @@
 // highest end that the leader has once it receives the report. The caller holds
 // mu.
 func (r *Runner) buildReport() (m lwdispatch.Report, newest int64) {
-	m = lwdispatch.Report{Info: r.info, Token: r.listsToken, Refused: r.refusals, Unresponsive: r.failedPolls >= unresponsiveAfterPolls || r.ended, ProcessEnded: r.processEnded(), Fenced: r.fenced, Answered: r.answered, KnowsCrashes: true, Crashes: slices.Clone(r.crashes)}
+	m = lwdispatch.Report{Info: r.info, Token: r.listsToken, Refused: r.refusals, Unresponsive: r.failedPolls >= unresponsiveAfterPolls || r.ended, ProcessEnded: r.replacedByOtherID, Fenced: r.fenced, Answered: r.answered, KnowsCrashes: true, Crashes: slices.Clone(r.crashes)}
 	newest = r.reportedEnd
 	if r.listsToken != 0 {
 		m.Complete = r.fullReportDue
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -83,7 +83,6 @@
 	failedPolls       int                                 // failed polls in a row
 	answeredAt        time.Duration                       // when the worker last answered a call; 0 before its first answer
 	fenced            bool                                // the last poll was refused because the worker has received a higher token
-	deregistered      bool                                // the worker has said that it ends
 	silent            bool                                // a call has timed out since the worker last answered one
 	brokenAt          time.Duration                       // when a call first found the connection broken or refused, since the worker last answered one; 0 if none has
 	ended             bool                                // another incarnation has answered in the worker's place
@@ -129,7 +128,7 @@
 	r.held = make(map[runKey]heldRun)
 	r.brokenAt, r.answeredAt, r.silent = 0, 0, false
 	r.ended, r.replacedByOtherID, r.endNoted = false, false, false
-	r.fenced, r.deregistered, r.answered, r.unanswered = false, false, false, nil
+	r.fenced, r.answered, r.unanswered = false, false, nil
 	r.evacuated = false // nothing starts before a reply grants a lease
 	r.refusals = nil
 	r.refusalReasons = make(map[runKey]lwdispatch.RefusalReason)
@@ -298,14 +297,15 @@
 	return conn.Poll(call, c, 0, 0, 0)
 }
 
-// Deregister handles a worker's deregistration: nothing more is started on it.
-// StartedAt is 0 if the worker does not state it.
+// Deregister handles a deregistration: nothing more is started on the worker. It does not show
+// that the worker's process has ended, as anybody may have sent it. StartedAt is 0 if
+// it is not stated.
 func (r *Runner) Deregister(i lwjob.WorkerIncarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	current := r.info.Incarnation
 	if r.announced && current.Worker == i.Worker && (i.StartedAt == 0 || i.StartedAt == current.StartedAt) {
-		r.info.Draining, r.deregistered = true, true
+		r.info.Draining = true
 		r.log.Info("worker deregistered", zap.String("worker", string(i.Worker)))
 	}
 }
