Take an incarnation for ended only if its own agent was answered by a later one, at the leader

Cause: a report that named a later incarnation with the agent or the id of a known one ended that one, whoever sent it; a new leader dismissed incarnations that it awaited in the same way. A report of an incarnation by another agent than the one that serves it moved it there, and that agent's finding that somebody else answers ended it.

Change: the report field answered counts. A later incarnation takes the place of an earlier one of the same agent only if it has answered that agent; it is not added before the lease of one that has its id at another agent has ended, nor are those of agents that do not state the field. Reports of an incarnation by another agent than the one that serves it or is awaited are ignored, and orders go only to the agent that serves a worker.

--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -366,7 +366,7 @@
 	}
 	defer d.mu.Unlock()
 	g := d.core.Report(m)
-	if !m.ProcessEnded && d.sessions[m.Info.Incarnation] != s {
+	if d.core.ServesWorker(m.Info.Agent, m.Info.Incarnation) && d.sessions[m.Info.Incarnation] != s {
 		d.sessions[m.Info.Incarnation] = s
 		d.core.AgentReconnected(m.Info.Incarnation)
 	}
--- a/internal/control/lwdispatch/crash_test.go
+++ b/internal/control/lwdispatch/crash_test.go
@@ -398,7 +398,7 @@
 	f.core.Advance(f.now, f.wallClock)
 	next := f.infos["w1"]
 	next.Incarnation = lwjob.WorkerIncarnation{Worker: "w1-2", StartedAt: next.Incarnation.StartedAt + 1}
-	f.core.Report(Report{Info: next, KnowsCrashes: true})
+	f.core.Report(Report{Info: next, Answered: true, KnowsCrashes: true})
 	f.step()
 	crashes := f.table.Job("j").Task(lwjob.TaskKey{}).Crashes
 	if len(crashes) != 1 || !crashes[0].AtMost || crashes[0].Age.Std() < 500*time.Millisecond {
--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -114,7 +114,7 @@
 func (f *fixture) join(info WorkerInfo) {
 	f.infos[info.Incarnation.Worker] = info
 	f.core.Advance(f.now, f.wallClock)
-	f.core.Report(Report{Info: info})
+	f.core.Report(Report{Info: info, Answered: true})
 	f.step()
 	f.report(info.Incarnation.Worker)
 }
@@ -124,7 +124,7 @@
 	info := f.infos[id]
 	token, _ := f.core.TokenAndCursor(info.Incarnation)
 	f.clock++
-	m := Report{Info: info, Token: token, Complete: true, Running: f.lists[id], Clock: f.clock}
+	m := Report{Info: info, Token: token, Answered: true, Complete: true, Running: f.lists[id], Clock: f.clock}
 	for _, e := range ends {
 		f.lastEnd[id]++
 		m.Ends = append(m.Ends, NumberedEnd{f.lastEnd[id], e})
@@ -210,12 +210,13 @@
 	}
 }
 
-// restart replaces the incarnation of a worker by the next one with the same id, and reports it.
+// restart replaces the incarnation of a worker by the next one with the same id, which answers its
+// agent, and reports it.
 func (f *fixture) restart(id string) {
 	info := f.infos[workerInfo(id, 4).Incarnation.Worker]
 	info.Incarnation.StartedAt++
 	f.infos[info.Incarnation.Worker] = info
 	f.core.Advance(f.now, f.wallClock)
-	f.core.Report(Report{Info: info, KnowsCrashes: true})
+	f.core.Report(Report{Info: info, Answered: true, KnowsCrashes: true})
 	f.step()
 }
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -9,36 +9,26 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
-// findOrAddWorker returns the worker of a report, added if it is unknown. A new
-// incarnation replaces older ones with the same agent or id; it returns nil for an
-// incarnation that is itself older than a known one.
+// findOrAddWorker returns the worker of a report, added if it is unknown. It returns nil if the
+// report does not show that the earlier incarnations with its agent or id have ended; they keep their
+// runs until their leases have.
 func (c *Core) findOrAddWorker(m Report) *worker {
 	info, incarnation := m.Info, m.Info.Incarnation
-	next := Successor{incarnation, info.Agent, m.Answered}
 	if w := c.workers[incarnation]; w != nil {
-		w.info.Agent = info.Agent
-		c.incarnationByAgent[info.Agent] = incarnation
 		return w
 	}
+	next := Successor{incarnation, info.Agent, m.Answered}
+	if earlier, ok := c.unendedBefore(next); ok {
+		c.keepOut(next, earlier)
+		return nil
+	}
 	awaited, hadID := c.awaitedBefore(incarnation)
 	var unconfirmed []*run
 	if old, ok := c.incarnationByAgent[info.Agent]; ok {
-		if old.StartedAt > incarnation.StartedAt {
-			return nil
-		}
 		c.inferCrash(old, c.lastReportOf(old), m.KnowsCrashes)
 		unconfirmed = c.takeUnconfirmed(old, incarnation)
 		c.removeWorker(old, "a newer life has begun on its machine", next)
 	}
-	for other := range c.workers {
-		if other.Worker == incarnation.Worker {
-			if other.StartedAt > incarnation.StartedAt {
-				return nil
-			}
-			unconfirmed = append(unconfirmed, c.takeUnconfirmed(other, incarnation)...)
-			c.removeWorker(other, "a newer incarnation has the same id", next)
-		}
-	}
 	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now}
 	awaitedEntry, onRoster := c.missing[incarnation]
 	w.longLease = hadID || awaitedEntry.longLease
@@ -53,6 +43,7 @@
 		c.addRun(r)
 	}
 	c.incarnationByAgent[info.Agent] = incarnation
+	delete(c.keptOut, info.Agent)
 	c.sortedWorkers = append(c.sortedWorkers, w)
 	slices.SortFunc(c.sortedWorkers, func(a, b *worker) int {
 		if a.info.Incarnation.Worker < b.info.Incarnation.Worker {
@@ -67,6 +58,59 @@
 	return w
 }
 
+// unendedBefore returns an incarnation that is not known to have ended and has the agent or the id of a
+// next one. What the agent of both has been answered by the next one shows that the earlier one has ended. A
+// report of another agent does not, nor does one of an incarnation that has not answered.
+func (c *Core) unendedBefore(next Successor) (lwjob.WorkerIncarnation, bool) {
+	mayRun := func(earlier lwjob.WorkerIncarnation, agent string) bool {
+		switch {
+		case earlier == next.Incarnation:
+			return false
+		case agent == next.Agent:
+			return !next.Answered || earlier.StartedAt > next.Incarnation.StartedAt
+		default:
+			return earlier.Worker == next.Incarnation.Worker
+		}
+	}
+	for earlier, w := range c.workers {
+		if mayRun(earlier, w.info.Agent) {
+			return earlier, true
+		}
+	}
+	for earlier, m := range c.missing {
+		if mayRun(earlier, m.agent) {
+			return earlier, true
+		}
+	}
+	return lwjob.WorkerIncarnation{}, false
+}
+
+// keepOut logs that an incarnation is not added, once for each agent and incarnation in turn.
+func (c *Core) keepOut(next Successor, earlier lwjob.WorkerIncarnation) {
+	if c.keptOut[next.Agent] == next.Incarnation {
+		return
+	}
+	c.keptOut[next.Agent] = next.Incarnation
+	c.logDecision(Decision{Kind: DecidedWorkerKeptOut, Worker: next.Incarnation.Worker, Reason: fmt.Sprintf("%s, started at %d, is not known to have ended", earlier.Worker, earlier.StartedAt), Successor: next})
+}
+
+// isServedBy reports whether an incarnation is known or awaited at an agent, or unknown. What another agent
+// says of it is not evidence.
+func (c *Core) isServedBy(incarnation lwjob.WorkerIncarnation, agent string) bool {
+	if w := c.workers[incarnation]; w != nil {
+		return w.info.Agent == agent
+	}
+	m, awaited := c.missing[incarnation]
+	return !awaited || m.agent == agent
+}
+
+// ServesWorker reports whether an agent serves an incarnation that is known, so that orders for it
+// go to that agent.
+func (c *Core) ServesWorker(agent string, incarnation lwjob.WorkerIncarnation) bool {
+	w := c.workers[incarnation]
+	return w != nil && w.info.Agent == agent
+}
+
 // awaitedBefore reports whether an incarnation has the id of an earlier one whose lists this
 // leader has not received, so that starts of an earlier term may be carried out by the new
 // one, and whether any earlier one with its id is known.
--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -23,7 +23,7 @@
 		info := f.infos["w1"]
 		info.Incarnation.StartedAt++
 		f.infos["w1"] = info
-		f.core.Report(Report{Info: info, KnowsCrashes: true, Crashes: []Crash{{Incarnation: lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, Runs: []HeldRun{{Task: list[0].Task, Run: list[0].Run}}}}})
+		f.core.Report(Report{Info: info, Answered: true, KnowsCrashes: true, Crashes: []Crash{{Incarnation: lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, Runs: []HeldRun{{Task: list[0].Task, Run: list[0].Run}}}}})
 		f.step()
 		if after, _ := f.core.TokenAndCursor(info.Incarnation); after <= before {
 			t.Errorf("the next incarnation has token %d, which starts with token %d pass", after, before)
@@ -55,7 +55,7 @@
 		info := f.infos["w1"]
 		info.Incarnation.StartedAt++
 		f.infos["w1"] = info
-		f.core.Report(Report{Info: info})
+		f.core.Report(Report{Info: info, Answered: true})
 		f.step()
 		expectStarts(t, f.takeStarts("w2"))
 	})
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -8,8 +8,12 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
-// Report handles the report of an agent about its worker and renews the lease.
+// Report handles the report of an agent about its worker and renews the lease. It ignores a report of an
+// incarnation that another agent serves.
 func (c *Core) Report(m Report) Grant {
+	if !c.isServedBy(m.Info.Incarnation, m.Info.Agent) {
+		return Grant{}
+	}
 	for _, crash := range m.Crashes {
 		c.handleCrash(crash)
 	}
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -212,6 +212,7 @@
 	DecidedCPUShare      DecisionKind = "task_paced"
 	DecidedWorkerAdded   DecisionKind = "worker_known"
 	DecidedWorkerRemoved DecisionKind = "worker_given_up"
+	DecidedWorkerKeptOut DecisionKind = "worker_kept_out"
 	DecidedSuspect       DecisionKind = "worker_suspected"
 	DecidedDrain         DecisionKind = "worker_draining"
 	DecidedAdmission     DecisionKind = "job_admission"
--- a/internal/worker/lwrunner/schedule_leader_test.go
+++ b/internal/worker/lwrunner/schedule_leader_test.go
@@ -340,7 +340,7 @@
 		l.s.logf("leader %d: receives the refusal of %s: %s", l.term, runName(f.Task, f.Run), f.Reason)
 	}
 	g := l.core.Report(m)
-	if !m.ProcessEnded && l.sessions[m.Info.Incarnation] != from {
+	if l.core.ServesWorker(m.Info.Agent, m.Info.Incarnation) && l.sessions[m.Info.Incarnation] != from {
 		l.sessions[m.Info.Incarnation] = from
 		l.core.AgentReconnected(m.Info.Incarnation)
 	}
