Start an attempt again only where its earlier start is known

Cause: an agent started every assigned attempt that its platform did not list and that was not reported as running. A list without the attempt was so taken as evidence that no start of it was under way: also after a start without an answer at a platform that was started again beside its tasks, and by an agent that followed another one of its worker, on the same VM or on another one that states the same worker. The earlier run went on under its lease.

Change: such an attempt is started again at once only by the platform that has received the start from this agent, which its clock's id shows; else once the lease of the earlier start and the stop time have passed. The assignments that an agent takes over count as started.

--- a/internal/worker/lwagent/agent.go
+++ b/internal/worker/lwagent/agent.go
@@ -86,13 +86,14 @@
 
 	// Used by the sync loop only.
 	assigned         []lwlink.Assignment
-	assignedRevision lwunit.Revision                          // worker revision of assigned; 0 asks for the whole list
-	reported         map[lwplatform.Attempt]lwstate.TaskEvent // last event that control has received
-	started          map[lwplatform.Attempt]bool              // started by this agent
-	mayRunUntil      map[lwplatform.Attempt]time.Duration     // on clock, when an attempt has certainly ended at the platform even if no list shows it
-	missingSince     map[lwplatform.Attempt]time.Duration     // on clock, first list without an assigned attempt since one that had it
-	inherits         bool                                     // the next assignments may have been started by another agent of the worker
-	cpuPercent       map[lwplatform.Attempt]int               // limits that this agent has ordered
+	assignedRevision lwunit.Revision                           // worker revision of assigned; 0 asks for the whole list
+	reported         map[lwplatform.Attempt]lwstate.TaskEvent  // last event that control has received
+	started          map[lwplatform.Attempt]bool               // started by this agent
+	mayRunUntil      map[lwplatform.Attempt]time.Duration      // on clock, when an attempt has certainly ended at the platform even if no list shows it
+	sentTo           map[lwplatform.Attempt]lwplatform.ClockID // clock of the platform to which this agent, and no other one, has sent the start
+	missingSince     map[lwplatform.Attempt]time.Duration      // on clock, first list without an assigned attempt since one that had it
+	inherits         bool                                      // the next assignments may have been started by another agent of the worker
+	cpuPercent       map[lwplatform.Attempt]int                // limits that this agent has ordered
 
 	platformClock       lwplatform.Clock // as told with the last list; 0 if the platform tells none
 	platformClockID     lwplatform.ClockID
@@ -109,7 +110,7 @@
 		cfg: cfg, log: log, client: client, runs: lwrun.NewTable(), syncDue: make(chan struct{}, 1), cancel: cancel, clock: lwclock.New(),
 		policy: make(map[lwunit.ServiceName]lwticket.ServiceSpec), reported: make(map[lwplatform.Attempt]lwstate.TaskEvent),
 		started: make(map[lwplatform.Attempt]bool), cpuPercent: make(map[lwplatform.Attempt]int),
-		mayRunUntil: make(map[lwplatform.Attempt]time.Duration), missingSince: make(map[lwplatform.Attempt]time.Duration), inherits: true,
+		mayRunUntil: make(map[lwplatform.Attempt]time.Duration), sentTo: make(map[lwplatform.Attempt]lwplatform.ClockID), missingSince: make(map[lwplatform.Attempt]time.Duration), inherits: true,
 	}
 	a.backends = newBackendTable(a)
 	server, err := lwhttp.Listen(lwhttp.Config{
--- a/internal/worker/lwagent/lease_test.go
+++ b/internal/worker/lwagent/lease_test.go
@@ -44,7 +44,7 @@
 func newTestAgent(p lwplatform.Platform) *Agent {
 	return &Agent{
 		cfg: Config{Platform: p}, log: zap.NewNop(), clock: lwclock.New(), started: make(map[lwplatform.Attempt]bool),
-		mayRunUntil: make(map[lwplatform.Attempt]time.Duration), missingSince: make(map[lwplatform.Attempt]time.Duration),
+		mayRunUntil: make(map[lwplatform.Attempt]time.Duration), sentTo: make(map[lwplatform.Attempt]lwplatform.ClockID), missingSince: make(map[lwplatform.Attempt]time.Duration),
 	}
 }
 
--- a/internal/worker/lwagent/reconcile.go
+++ b/internal/worker/lwagent/reconcile.go
@@ -36,8 +36,8 @@
 
 // reconcile compares the assigned attempts with those on the platform and
 // returns the actions that bring the platform in line. The assignments are the
-// whole list, so an attempt that is not among them is obsolete.
-func reconcile(capacity lwunit.Resources, assigned []lwlink.Assignment, actual []lwplatform.AttemptStatus, started map[lwplatform.Attempt]bool) []action {
+// whole list, so an attempt that is not among them is obsolete. It starts none of mayNotStart.
+func reconcile(capacity lwunit.Resources, assigned []lwlink.Assignment, actual []lwplatform.AttemptStatus, mayNotStart map[lwplatform.Attempt]bool) []action {
 	want := make(map[lwunit.TaskID]lwlink.Assignment, len(assigned))
 	for _, a := range assigned {
 		want[a.Task] = a
@@ -55,7 +55,7 @@
 		acts = append(acts, attemptActions(t, want)...)
 	}
 	for _, a := range assigned {
-		startable := a.Stop == "" && !a.Running && !started[lwplatform.Attempt{Task: a.Task, Token: a.Token}] &&
+		startable := a.Stop == "" && !a.Running && !mayNotStart[lwplatform.Attempt{Task: a.Task, Token: a.Token}] &&
 			newest[a.Task] < a.Token && !running[a.Task]
 		// Control may count a stop as done that is still in progress here, so
 		// the agent checks the free capacity again.
--- a/internal/worker/lwagent/sync.go
+++ b/internal/worker/lwagent/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -118,6 +119,7 @@
 	}
 	// Control gave another agent of the worker no lease after this one registered.
 	a.inherits = false
+	clear(a.sentTo)
 	for _, t := range a.assigned {
 		a.expectRunning(lwplatform.Attempt{Task: t.Task, Token: t.Token}, a.clock.Now()+res.Lease.Std())
 	}
@@ -129,6 +131,21 @@
 	a.mayRunUntil[attempt] = max(a.mayRunUntil[attempt], leaseEnd+leaseMargin)
 }
 
+// mayNotStart returns the attempts that must not be started now: those that this agent has
+// started, and those of which an earlier start may run without being listed. Only the platform
+// to which that start was sent knows of it and carries out no second one.
+func (a *Agent) mayNotStart() map[lwplatform.Attempt]bool {
+	list := maps.Clone(a.started)
+	now := a.clock.Now()
+	for attempt, until := range a.mayRunUntil {
+		sentTo, sent := a.sentTo[attempt]
+		if now < until && !(sent && sentTo != "" && sentTo == a.platformClockID) {
+			list[attempt] = true
+		}
+	}
+	return list
+}
+
 // dueReports returns the reports that follow from a list of the platform's attempts.
 func (a *Agent) dueReports(actual []lwplatform.AttemptStatus) []lwstate.TaskReport {
 	now := a.clock.Now()
@@ -228,6 +245,11 @@
 			delete(a.mayRunUntil, attempt)
 		}
 	}
+	for attempt := range a.sentTo {
+		if !keep[attempt] {
+			delete(a.sentTo, attempt)
+		}
+	}
 	for attempt := range a.missingSince {
 		if !keep[attempt] {
 			delete(a.missingSince, attempt)
@@ -269,7 +291,7 @@
 // applyReply carries out the actions that follow from control's reply. It
 // returns true if a task's state changed, which is reported at once.
 func (a *Agent) applyReply(ctx context.Context, actual []lwplatform.AttemptStatus, leaseEnd time.Duration, res lwlink.SyncReply) (again bool) {
-	acts := reconcile(a.cfg.Worker.Capacity, a.assigned, actual, a.started)
+	acts := reconcile(a.cfg.Worker.Capacity, a.assigned, actual, a.mayNotStart())
 	acts = append(acts, a.throttleActions(res.Throttles)...)
 	for _, act := range acts {
 		if a.perform(ctx, act, leaseEnd) {
@@ -343,6 +365,7 @@
 	}
 	attempt := lwplatform.Attempt{Task: act.assignment.Task, Token: act.assignment.Token}
 	a.expectRunning(attempt, leaseEnd)
+	a.sentTo[attempt] = a.platformClockID
 	err := a.cfg.Platform.Start(ctx, lwplatform.StartRequest{
 		Attempt: attempt, Lease: a.leaseUntil(leaseEnd), Program: act.assignment.Program, Reserve: act.assignment.Reserve,
 		Checkpoint: act.assignment.Checkpoint,
