Keep the slots of a backend server that another announcement replaces

Cause: an agent took an announcement with another address, service or id as the end of the server announced before, and gave the new one a gate without requests. Requests at the same address that were still in flight were no longer counted: a server whose id two processes announced in turn, or that was announced under a second id before the first had expired, got twice its slots.

Change: a server that is replaced gets no more requests, and an announcement is refused with 503 while requests to another server that was announced at its address are in flight.

Before, four cases of TestAnnouncementReleasesNoSlots failed: the announcement was taken, and a second slot given. They hold now, and so do the other tests of lwagent and lwdemo.

--- a/internal/worker/lwagent/backend.go
+++ b/internal/worker/lwagent/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -50,10 +51,11 @@
 
 // backendTable holds the announced backend servers.
 type backendTable struct {
-	agent   *Agent
-	mu      sync.RWMutex
-	byID    map[lwunit.BackendServerID]*backend
-	changed chan struct{}
+	agent    *Agent
+	mu       sync.RWMutex
+	byID     map[lwunit.BackendServerID]*backend
+	replaced []*backend // former servers of an id whose requests may be in flight
+	changed  chan struct{}
 }
 
 func newBackendTable(a *Agent) *backendTable {
@@ -87,17 +89,10 @@
 		lease = defaultAnnouncementLease
 	}
 	expiresAt := time.Now().Add(min(lease, maxAnnouncementLease))
-	b.mu.Lock()
-	s, ok := b.byID[id]
-	if ok && (s.service != service || s.address != address) {
-		ok = false // a new server uses the id; the previous one has ended
-	}
-	if !ok {
-		s = b.newBackend(id, service, address)
-		b.byID[id] = s
-		backendsAnnounced.Add(1)
+	s, err := b.find(id, service, address)
+	if err != nil {
+		return err
 	}
-	b.mu.Unlock()
 	s.mu.Lock()
 	withdrawn := s.withdrawn
 	s.expiresAt = expiresAt
@@ -109,6 +104,53 @@
 	return nil
 }
 
+// find returns the backend server of an announcement, added if it is unknown. An announcement is no
+// evidence that what was announced before under the same id or at the same address has ended: such a
+// server gets no more requests, and the new one is refused while requests at its own address are in
+// flight, since their slots are in use.
+func (b *backendTable) find(id lwunit.BackendServerID, service lwunit.ServiceName, address string) (*backend, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.byID[id]; ok && s.service == service && s.address == address {
+		return s, nil
+	}
+	b.replaced = slices.DeleteFunc(b.replaced, (*backend).idle)
+	busy := slices.ContainsFunc(b.replaced, func(s *backend) bool { return s.address == address })
+	for _, s := range b.byID {
+		if s.address == address {
+			s.withdraw()
+			busy = busy || !s.idle()
+		}
+	}
+	if busy {
+		return nil, &lwfault.Fault{Kind: lwfault.Unavailable, Detail: "requests at the server that was announced before at " + address + " are in flight", RetryAfter: time.Second}
+	}
+	if s, ok := b.byID[id]; ok {
+		s.withdraw()
+		b.replaced = append(b.replaced, s)
+	}
+	s := b.newBackend(id, service, address)
+	b.byID[id] = s
+	backendsAnnounced.Add(1)
+	return s, nil
+}
+
+// withdraw makes the gate refuse new requests. The channel is closed when those in flight have
+// finished.
+func (s *backend) withdraw() <-chan struct{} {
+	idle := s.gate.Drain()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdrawn = true
+	return idle
+}
+
+// idle reports whether no request is in flight or in the queue.
+func (s *backend) idle() bool {
+	load := s.gate.Load()
+	return load.Busy+load.Queued == 0
+}
+
 func (b *backendTable) newBackend(id lwunit.BackendServerID, service lwunit.ServiceName, address string) *backend {
 	limits := lwgate.Limits{}
 	connections := 1
@@ -163,10 +205,7 @@
 	if !ok {
 		return nil, lwfault.New(lwfault.NotFound, "backend server %s is not announced", id)
 	}
-	idle := s.gate.Drain()
-	s.mu.Lock()
-	s.withdrawn = true
-	s.mu.Unlock()
+	idle := s.withdraw()
 	b.signalChange()
 	return idle, nil
 }
@@ -247,7 +286,7 @@
 			s.removed = true
 			s.mu.Unlock()
 		}
-		if load := s.gate.Load(); load.Busy+load.Queued == 0 {
+		if s.idle() {
 			b.remove(s)
 		}
 	case !announced:
