Bind a worker's orders only to a connection whose report was taken

Cause: the leader sent the orders for an incarnation over the connection that named it last, whether the core had taken the report or not. Any agent could so draw them to itself.

Change: a report that the core does not take, and thus gives no token, moves no orders.

Before, TestReportThatIsNotTakenMovesNoOrders failed: the report of an earlier incarnation left a session of its own. It holds now.

--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -355,9 +355,9 @@
 	return list
 }
 
-// report passes an agent's report to the core and returns the grant. The first
-// report over a connection makes the core resend the starts and stops that no
-// report has confirmed, and the CPU limits.
+// report passes an agent's report to the core and returns the grant. The first report over a
+// connection that the core takes, which shows in the token, makes the core resend the starts
+// and stops that no report has confirmed, and the CPU limits.
 func (n *Node) report(_ context.Context, r *replica, s *lwrpc.Session, m lwdispatch.Report) (lwlink.ReportReply, error) {
 	reportsReceived.Add(1)
 	d := n.dispatcher
@@ -366,7 +366,7 @@
 	}
 	defer d.mu.Unlock()
 	g := d.core.Report(m)
-	if !m.ProcessEnded && d.sessions[m.Info.Incarnation] != s {
+	if g.Token != 0 && d.sessions[m.Info.Incarnation] != s {
 		d.sessions[m.Info.Incarnation] = s
 		d.core.AgentReconnected(m.Info.Incarnation)
 	}
