--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -104,13 +104,6 @@
 	return !awaited || m.agent == agent
 }
 
-// ServesWorker reports whether an agent serves an incarnation that is known, so that orders for it
-// go to that agent.
-func (c *Core) ServesWorker(agent string, incarnation lwjob.WorkerIncarnation) bool {
-	w := c.workers[incarnation]
-	return w != nil && w.info.Agent == agent
-}
-
 // awaitedBefore reports whether an incarnation has the id of an earlier one whose lists this
 // leader has not received, so that starts of an earlier term may be carried out by the new
 // one, and whether any earlier one with its id is known.
