Withdraw a start that waits to be sent when its run is stopped

Cause: a start that is ordered again as its agent reconnects waits in the effects of the core until the dispatcher runs next. If the end of another run of its task as done arrives before that, the run is stopped, and the start and the stop are sent in one message. The agent carries both out at the same time, so the run may begin after the task is known to be done.

Change: stopping a run withdraws its starts that wait, as releasing it does.

Result: TestStoppedRunIsNotOrdered failed before ("started [j.0.0.0/2], want []").

--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -402,3 +402,26 @@
 		t.Errorf("the task is started elsewhere after %s, want at least 10s", lostFor)
 	}
 }
+
+// Guards against a start that goes out although its task is known to be done: the agent of the
+// other worker has reconnected, so the start waits to be sent again as the end arrives.
+func TestStoppedRunIsNotOrdered(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, testEstimate))
+	first := f.startAll("w1")
+	expectStarts(t, first, "j.0.0.0/1")
+	f.join(workerInfo("w2", 4))
+	f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true})
+	f.step()
+	expectStarts(t, f.takeStarts("w2"), "j.0.0.0/2")
+
+	f.lists["w1"] = nil
+	f.join(f.infos["w1"]) // it answers again
+	f.core.AgentReconnected(f.infos["w2"].Incarnation)
+	f.endRun("w1", first[0], lwjob.EndDone)
+	if stops := ordered[StopRun](f, "w2"); len(stops) != 1 {
+		t.Errorf("stops of %v were ordered, want one", stops)
+	}
+	expectStarts(t, f.takeStarts("w2"))
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -216,8 +216,9 @@
 	w.reserved = w.reserved.Sub(r.reservation())
 }
 
-// withdrawOrder drops the starts of a run that wait to be sent: they would be sent under
-// the worker's newest token, and the task may be started elsewhere by then.
+// withdrawOrder drops the starts of a run that wait to be sent. Once the run is released they
+// would be sent under the worker's newest token, and the task may be started elsewhere by then.
+// Once it is to stop, its agent would carry out both orders at the same time.
 func (c *Core) withdrawOrder(w *worker, r *run) {
 	for i := range c.effects.Orders {
 		if x := &c.effects.Orders[i]; x.Incarnation == w.info.Incarnation {
@@ -259,6 +260,7 @@
 		return
 	}
 	r.worker.invalidate()
+	c.withdrawOrder(r.worker, r)
 	r.phase = runStopping
 	r.lastSentAt = c.now
 	c.sendOrder(r.worker, StopRun{r.task.name, r.id})
