Take the ends of a report in the order of their numbers

Cause: the leader takes an end only if its number is higher than those before. If an end is listed after one with a higher number, it is passed over, and the worker forgets it as the higher number is recorded. The leader then finds the run neither running nor ended, has it stopped, is told that it is blocked, and starts the task again, although it has ended as done and that was taken note of.

Change: the ends of a report are taken in the order of their numbers.

Result: TestEndsAreTakenInAnyOrder failed before: the job stays running, and its first task is stopped.

--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -425,3 +425,27 @@
 	}
 	expectStarts(t, f.takeStarts("w2"))
 }
+
+// Guards against an end that is passed over because one with a higher number is listed before it:
+// its worker would forget it as recorded, its run would count as lost, and the task would run again.
+func TestEndsAreTakenInAnyOrder(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(2, 1, testEstimate))
+	started := f.startAll("w1")
+	expectStarts(t, started, "j.0.0.0/1", "j.0.0.1/1")
+	f.lists["w1"] = nil
+	token, _ := f.core.TokenAndCursor(f.infos["w1"].Incarnation)
+	f.clock++
+	f.core.Report(Report{Info: f.infos["w1"], Token: token, Complete: true, Clock: f.clock, Ends: []NumberedEnd{
+		{2, lwjob.End{Task: started[1].Task, Run: 1, How: lwjob.EndDone}},
+		{1, lwjob.End{Task: started[0].Task, Run: 1, How: lwjob.EndDone}},
+	}})
+	f.step()
+	if got := f.table.Job("j").State; got != lwjob.Completed {
+		t.Errorf("the job is %s, want completed: both of its tasks are done", got)
+	}
+	if stops := ordered[StopRun](f, "w1"); len(stops) > 0 {
+		t.Errorf("stops of %v were ordered, want none", stops)
+	}
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -1,6 +1,7 @@
 package lwdispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -61,7 +62,8 @@
 func (c *Core) handleLists(w *worker, m Report) {
 	older := m.Clock < w.newestClock // its runs may have ended by a report that has overtaken it
 	w.newestClock = max(w.newestClock, m.Clock)
-	for _, e := range m.Ends {
+	byNumber := func(a, b NumberedEnd) int { return cmp.Compare(a.Number, b.Number) }
+	for _, e := range slices.SortedFunc(slices.Values(m.Ends), byNumber) {
 		c.handleEnd(w, e)
 	}
 	for _, f := range m.Refused {
