--- a/internal/worker/lwrunner/schedule_worker_test.go
+++ b/internal/worker/lwrunner/schedule_worker_test.go
@@ -192,11 +192,13 @@
 	return nil
 }
 
+// lists returns the lists of the worker; no order of their rows is promised.
 func (w *incarnation) lists() lwrunner.RunLists {
 	l := lwrunner.RunLists{Clock: w.clock(), StartedAt: w.id.StartedAt, Ends: slices.Clone(w.ends)}
 	for key := range w.running {
 		l.Running = append(l.Running, lwdispatch.RunStatus{Task: key.task, Run: key.run})
 	}
+	w.m.s.rng("ends", w.m.name).Shuffle(len(l.Ends), func(i, j int) { l.Ends[i], l.Ends[j] = l.Ends[j], l.Ends[i] })
 	return l
 }
 
