Log why a run was released where its task starts again and where its end comes late

`task_started` now names the last run of the task that was released and why; `task_done_after_release` says that such a run has ended as done, with the number of its end, up to which its worker's ends are recorded, and the run that was ordered since.

--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -23,6 +23,9 @@
 	if t == nil {
 		return
 	}
+	if r == nil {
+		c.noteLateEnd(w, t, e)
+	}
 	t.highestRun = max(t.highestRun, e.End.Run)
 	t.step.job.started = true
 	if e.End.Checkpoint != "" {
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -246,15 +246,40 @@
 		return
 	}
 	d := Decision{Kind: DecidedOverlap, Job: t.step.job.spec.ID, Task: t.name, Run: r.id, Worker: r.worker.info.Incarnation.Worker}
-	other := t.runs[0]
-	d.Reason = fmt.Sprintf("run %d on %s has been ordered", other.id, other.worker.info.Incarnation.Worker)
+	d.Reason = t.describeOrdered()
 	if last := t.lastRelease; last != nil {
-		d.Reason += fmt.Sprintf("; run %d on %s was released before: %s", last.run, last.worker, last.reason)
+		d.Reason += "; " + last.String()
 		d.Age = c.now - last.at
 	}
 	c.logDecision(d)
 }
 
+// noteLateEnd logs that a task is done by a run that this leader no longer counts, so that the
+// task may have been started again.
+func (c *Core) noteLateEnd(w *worker, t *task, e NumberedEnd) {
+	last := t.lastRelease
+	if e.End.How != lwjob.EndDone || t.done || last == nil {
+		return
+	}
+	d := Decision{Kind: DecidedLateEnd, Job: t.step.job.spec.ID, Task: t.name, Run: e.End.Run, Worker: w.info.Incarnation.Worker, Age: c.now - last.at}
+	d.Reason = fmt.Sprintf("end %d, %d are recorded; %s", e.Number, w.cursor, last)
+	if len(t.runs) > 0 {
+		d.Reason += "; " + t.describeOrdered()
+	}
+	c.logDecision(d)
+}
+
+// describeOrdered names a run of a task that counts against a worker.
+func (t *task) describeOrdered() string {
+	r := t.runs[0]
+	return fmt.Sprintf("run %d on %s has been ordered", r.id, r.worker.info.Incarnation.Worker)
+}
+
+// String says which run was released and why.
+func (x *release) String() string {
+	return fmt.Sprintf("run %d on %s was released before: %s", x.run, x.worker, x.reason)
+}
+
 // stopRun orders a run to stop. It counts against its worker until its end is
 // certain.
 func (c *Core) stopRun(r *run, reason string) {
--- a/internal/control/lwdispatch/start.go
+++ b/internal/control/lwdispatch/start.go
@@ -21,8 +21,12 @@
 	} else {
 		c.sendOrder(w, c.startOrder(r))
 	}
+	reason := ""
+	if t.lastRelease != nil {
+		reason = t.lastRelease.String()
+	}
 	c.logDecision(Decision{
-		Kind: DecidedStart, Job: t.step.job.spec.ID, Task: t.name, Run: id, Worker: w.info.Incarnation.Worker,
+		Kind: DecidedStart, Reason: reason, Job: t.step.job.spec.ID, Task: t.name, Run: id, Worker: w.info.Incarnation.Worker,
 		Slack: slack, Age: c.now - w.reportedAt, Suspicion: c.suspicion(t), Crashes: len(t.crashes),
 	})
 }
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -228,6 +228,7 @@
 	DecidedCopyWon       DecisionKind = "copy_won"
 	DecidedRestart       DecisionKind = "run_restarted"
 	DecidedOverlap       DecisionKind = "task_runs_overlap"
+	DecidedLateEnd       DecisionKind = "task_done_after_release"
 )
 
 // Decision is one line of the decision log.
