Replace an incarnation that was never used by one that answers

Cause: an agent that has just been started serves the first incarnation that it hears of, and a leader that knows of no earlier one adds it. If that announcement was not the worker's own, the worker was kept out for the time of a lease, 4.2 s, though nothing can run on an incarnation whose lists the leader has not received.

Change: such an incarnation keeps none out that has answered its agent.

Result: the four subtests of TestNeverUsedIncarnationIsReplaced fail on the code before and pass.

--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -29,6 +29,11 @@
 		unconfirmed = c.takeUnconfirmed(old, incarnation)
 		c.removeWorker(old, "a newer life has begun on its machine", next)
 	}
+	for other := range c.workers {
+		if other.Worker == incarnation.Worker {
+			c.removeWorker(other, "it has never answered, and another incarnation has its id", next)
+		}
+	}
 	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now}
 	awaitedEntry, onRoster := c.missing[incarnation]
 	w.longLease = hadID || awaitedEntry.longLease
@@ -60,7 +65,8 @@
 
 // unendedBefore returns an incarnation that is not known to have ended and has the agent or the id of a
 // next one. What the agent of both has been answered by the next one shows that the earlier one has ended. A
-// report of another agent does not, nor does one of an incarnation that has not answered.
+// report of another agent does not, nor does one of an incarnation that has not answered. A worker that was
+// never used keeps none out that has answered.
 func (c *Core) unendedBefore(next Successor) (lwjob.WorkerIncarnation, bool) {
 	mayRun := func(earlier lwjob.WorkerIncarnation, agent string) bool {
 		switch {
@@ -73,7 +79,7 @@
 		}
 	}
 	for earlier, w := range c.workers {
-		if mayRun(earlier, w.info.Agent) {
+		if mayRun(earlier, w.info.Agent) && !(next.Answered && w.neverUsed()) {
 			return earlier, true
 		}
 	}
@@ -85,6 +91,11 @@
 	return lwjob.WorkerIncarnation{}, false
 }
 
+// neverUsed reports whether a worker was given nothing to run: only one whose lists were received is.
+func (w *worker) neverUsed() bool {
+	return !w.listsCurrent && w.newestClock == 0 && len(w.runs) == 0
+}
+
 // keepOut logs that an incarnation is not added, once for each agent and incarnation in turn.
 func (c *Core) keepOut(next Successor, earlier lwjob.WorkerIncarnation) {
 	if c.keptOut[next.Agent] == next.Incarnation {
--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -26,7 +26,7 @@
 	"the end of its process by another agent":                    {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, "agent-w3", true, true},
 }
 
-// report makes the report of a claim.
+// claim makes the report of a claim.
 func (f *fixture) claim(x claim) Grant {
 	info := workerInfo(string(x.incarnation.Worker), 4)
 	info.Incarnation, info.Agent = x.incarnation, x.agent
@@ -141,3 +141,22 @@
 		})
 	}
 }
+
+// Guards against a worker that is not used for the time of a lease, since an announcement that was not its own
+// came first: nothing runs on an incarnation that has never answered.
+func TestNeverUsedIncarnationIsReplaced(t *testing.T) {
+	for name, x := range map[string]claim{
+		"at the same agent":  {lwjob.WorkerIncarnation{Worker: "w9", StartedAt: 9}, "agent-w1", false, false},
+		"with the same id":   {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 9}, "agent-w1", false, false},
+		"at another agent":   {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 9}, "agent-w3", false, false},
+		"earlier, elsewhere": {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 0}, "agent-w3", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.claim(x)
+			f.submit("j", tasks(1, 1, time.Minute))
+			f.join(workerInfo("w1", 4))
+			expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+		})
+	}
+}
