Test that fences, refused connections and unstated start times are no evidence

Cause: with the guards taken out on a scratch copy, no test failed for a fenced probe that counts as an answer, a crash that is counted before the lease has ended beside refused connections, and lists without a start time. Change: tests only, one for each. Result: each fails with its guard taken out, and passes with it.

--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -115,6 +115,13 @@
 			expectAnswered(t, l, true)
 		})
 	})
+	t.Run("not if the lists state no time of start", func(t *testing.T) {
+		withAgent(t, func(_ *testing.T, w *fakeWorker) { w.startedAt = 0 }, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
+			r.Announce(lwdispatch.WorkerInfo{Incarnation: testIncarnation, Service: "s"}, 1)
+			time.Sleep(time.Second)
+			expectAnswered(t, l, false)
+		})
+	})
 	t.Run("not if another one answers", func(t *testing.T) {
 		withAgent(t, func(_ *testing.T, w *fakeWorker) { w.unresponsive = true }, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
 			r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: testIncarnation.Worker, StartedAt: 9}, Service: "s"}, 1)
@@ -168,3 +175,36 @@
 		}
 	})
 }
+
+// Guards against two runs of a task: a refusal that does not say which incarnation answers is taken for the
+// answer of the announced one.
+func TestFencedProbeEndsNoWorker(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		sendOrders(t.Context(), r, testToken, startOrder("j.0.0.0", 1))
+		time.Sleep(time.Second)
+		from := l.reportCount()
+		w.mu.Lock()
+		w.token++ // by a leader of which the agent does not know
+		w.mu.Unlock()
+		r.Announce(lwdispatch.WorkerInfo{Incarnation: nextIncarnation, Service: "s"}, 1)
+		time.Sleep(time.Second)
+		expectServed(t, l, from, testIncarnation)
+	})
+}
+
+// Guards against a crash that is counted against the tasks of a worker whose connections are refused while
+// its runs go on.
+func TestRefusedConnectionsCountNoCrashBeforeLeaseHasEnded(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		sendOrders(t.Context(), r, testToken, startOrder("j.0.0.0", 1))
+		time.Sleep(time.Second)
+		from := l.reportCount()
+		w.exit()
+		time.Sleep(testLease - 500*time.Millisecond)
+		expectServed(t, l, from, testIncarnation)
+		time.Sleep(2 * time.Second)
+		if c := l.lastReport().Crashes; len(c) != 1 || len(c[0].Runs) != 1 {
+			t.Errorf("crashes %v are reported once the lease has ended, want one with one run", c)
+		}
+	})
+}
