--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 )
 
@@ -160,3 +161,23 @@
 		})
 	}
 }
+
+// Guards against a crash that is counted against the tasks of a worker which was told to leave, when its
+// successor answers.
+func TestSuccessorOfDrainingWorkerIsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, time.Second))
+	expectStarts(t, f.startAll("w1"), "j.0.0.0/1")
+	info := f.infos["w1"]
+	info.Draining, info.DrainTimeLeft = true, lwunit.Duration(time.Minute)
+	f.infos["w1"] = info
+	f.report("w1")
+	f.claim(claim{lwjob.WorkerIncarnation{Worker: "w1b", StartedAt: 2}, "agent-w1", true, false})
+	if crashes := f.table.Job("j").Task(lwjob.TaskKey{}).Crashes; len(crashes) > 0 {
+		t.Errorf("crashes %v are counted", crashes)
+	}
+	if f.core.workers[info.Incarnation] != nil {
+		t.Error("the earlier incarnation is still known")
+	}
+}
