--- a/internal/control/lwcontrol/roster_test.go
+++ b/internal/control/lwcontrol/roster_test.go
@@ -8,10 +8,12 @@
 	"go.uber.org/zap"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwclock"
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 )
 
@@ -112,3 +114,57 @@
 		t.Errorf("%d orders for a worker that is not on the roster %v", len(o.Orders), state.Queues().Roster())
 	}
 }
+
+// Guards against a cursor that passes an end whose record has failed: the worker would forget an
+// end that nobody has recorded. The ends are proposed again in their order.
+func TestFailedRecordOfEndsRaisesNoCursor(t *testing.T) {
+	is := is.New(t)
+	r := &replica{state: lwstate.New(), clock: lwclock.New(), events: make(chan event, 1), view: view{role: lwreplica.Leader, term: 2, holdsLease: true, leaseEnd: time.Hour}}
+	d := newDispatcher(&Node{log: zap.NewNop(), cfg: Config{Dispatch: lwdispatch.DefaultConfig()}})
+	d.beginTerm(r, 2)
+	d.core.Report(lwdispatch.Report{Info: lwdispatch.WorkerInfo{Incarnation: rosterEntry.Incarnation, Agent: rosterEntry.Agent}})
+	endsUpTo := func(first, last int64) (list []lwdispatch.WorkerEnd) {
+		for n := first; n <= last; n++ {
+			list = append(list, lwdispatch.WorkerEnd{Incarnation: rosterEntry.Incarnation, Numbered: lwdispatch.NumberedEnd{Number: n, End: lwjob.End{Task: "j.0.0.0", Run: lwjob.RunID(n), How: lwjob.EndDone}}})
+		}
+		return list
+	}
+	record := func(ends ...lwdispatch.WorkerEnd) { // as perform does
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.pendingEnds = append(d.pendingEnds, ends...)
+		d.recordRuns(t.Context(), r)
+	}
+	cursor := func() int64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		_, n := d.core.TokenAndCursor(rosterEntry.Incarnation)
+		return n
+	}
+	runsIn := func(e event) (list []lwjob.RunID) {
+		cmd, _, err := lwstate.DecodeCommand(e.body.(lwreplica.Propose).Data)
+		is.NoErr(err)
+		for _, x := range cmd.(lwstate.RecordRuns).Ends {
+			list = append(list, x.Run)
+		}
+		return list
+	}
+
+	record(endsUpTo(1, 2)...)
+	first := <-r.events
+	is.Equal(runsIn(first), []lwjob.RunID{1, 2})
+	record(endsUpTo(3, 3)...)
+	first.waiter.finish(lwfault.New(lwfault.Unavailable, "no quorum"))
+	eventually(t, "the ends wait again", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return !d.recordInFlight
+	})
+	is.Equal(cursor(), int64(0))
+	record()
+	second := <-r.events
+	is.Equal(runsIn(second), []lwjob.RunID{1, 2, 3})
+	is.Equal(cursor(), int64(0))
+	second.waiter.finish(nil)
+	eventually(t, "the cursor is raised", func() bool { return cursor() == 3 })
+}
