Log which ends a worker holds as its lists are first read under a token

One line a token and incarnation, in a few lines of applyLists.

Result: TestFirstListsOfTokenAreLogged.

--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -214,7 +214,13 @@
 	r.updateHeld()
 	r.noteShown()
 	foundRefusal := r.findBlocked(sentAt)
+	leaseLeft, cursor := max(0, r.leaseDeadline-r.clock.Now()), r.cursor
 	r.mu.Unlock()
+	if newToken {
+		first, last := endNumbers(lists.Ends)
+		r.log.Info("worker lists read", zap.String("worker", string(c.Incarnation.Worker)), zap.Uint64("token", uint64(c.Token)), zap.Duration("lease_left", leaseLeft),
+			zap.Int("runs", len(lists.Running)), zap.Int("ends", len(lists.Ends)), zap.Int64("first_end", first), zap.Int64("last_end", last), zap.Int64("cursor", cursor))
+	}
 	if wasUnresponsive {
 		r.log.Info("worker answers again", zap.String("worker", string(c.Incarnation.Worker)), zap.Bool("was_gone", wasGone), zap.Int("runs", len(lists.Running)))
 	}
@@ -224,6 +230,16 @@
 	return newEnd
 }
 
+// endNumbers returns the lowest and the highest number of ends, or 0 without any.
+func endNumbers(ends []lwdispatch.NumberedEnd) (lowest, highest int64) {
+	for i, e := range ends {
+		if highest = max(highest, e.Number); i == 0 || e.Number < lowest {
+			lowest = e.Number
+		}
+	}
+	return lowest, highest
+}
+
 // mayBeOlder reports whether the lists that a poll sent at sentAt has returned may be
 // older than the lists at hand. The worker's clock does not order two answers of the same
 // millisecond; those to a poll that was sent after the other answer had arrived are
--- a/internal/worker/lwrunner/runner_test.go
+++ b/internal/worker/lwrunner/runner_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
@@ -443,3 +444,36 @@
 		expectRefusals(t, l, "unanswered.0.0.0", lwdispatch.RefusedStopped)
 	})
 }
+
+// Guards against logs that do not tell, once an agent has been started again, which ends its worker
+// held then: whether a task that runs again was known to be done turns on it.
+func TestFirstListsOfTokenAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, logged := observer.New(zap.InfoLevel)
+		w := newFakeWorker()
+		for n := range int64(2) {
+			w.ends = append(w.ends, lwdispatch.NumberedEnd{Number: n + 4, End: lwjob.End{Task: "j.0.0.0", Run: lwjob.RunID(n + 1), How: lwjob.EndDone}})
+		}
+		r := New("agent-1", w, &fakeLeader{token: testToken, lease: testLease}, zap.New(core))
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			r.Run(ctx)
+			close(ended)
+		}()
+		r.Announce(lwdispatch.WorkerInfo{Incarnation: testIncarnation, Service: "s"}, 1)
+		time.Sleep(2 * time.Second)
+		lines := logged.FilterMessage("worker lists read").All()
+		if len(lines) != 1 {
+			t.Fatalf("%d lines were logged, want one", len(lines))
+		}
+		fields := lines[0].ContextMap()
+		for name, want := range map[string]any{"token": uint64(testToken), "ends": int64(2), "first_end": int64(4), "last_end": int64(5), "runs": int64(0)} {
+			if fields[name] != want {
+				t.Errorf("%s is %v, want %v", name, fields[name], want)
+			}
+		}
+		cancel()
+		<-ended
+	})
+}
