Keep a run that a late refusal of an agent's earlier process names

Cause: a worker that is unhealthy may refuse the stop as well that is to keep a refused run from beginning. The agent then reports the run as refused since it sends no copy of the start. That holds for its process only. If the agent is started again while the report is on its way, the leader orders the start again as the next process connects; that one starts the run, and the late refusal releases it, so that the task is started elsewhere at once.

Change: a refusal says whether the worker has not blocked the run (`unblocked`). The leader doesn't take such a refusal once it has ordered the start again because the agent connected anew. An agent that is sent the order again has the worker block the run as soon as it can, and reports that. Leaders and agents of an older version ignore the field or don't send it; with them it is as before. A task on an unhealthy worker now waits for it, or for its lease, if the agent reconnects between the order and the refusal.

TestRunThatUnhealthyWorkerHasNotBlocked shows the agent's side.

--- a/internal/control/lwdispatch/capacity_test.go
+++ b/internal/control/lwdispatch/capacity_test.go
@@ -142,7 +142,7 @@
 	if !slices.ContainsFunc(w.running, func(x crashRun) bool { return x.start.Task == o.Task && x.start.Run == o.Run }) {
 		info := s.infos[w.id]
 		token, _ := s.core.TokenAndCursor(info.Incarnation)
-		s.core.Report(Report{Info: info, Token: token, Refused: []Refusal{{o.Task, o.Run, RefusedStopped}}})
+		s.core.Report(Report{Info: info, Token: token, Refused: []Refusal{{Task: o.Task, Run: o.Run, Reason: RefusedStopped}}})
 		return
 	}
 	if _, ok := w.stopping[key]; !ok {
--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -34,6 +34,7 @@
 	throttledAt     time.Duration // when cpuPercent was last lowered from 100
 	awaitsRecord    bool          // the start is ordered once its placement is recorded
 	listed          bool          // a worker has listed it
+	sentToNext      bool          // its start was ordered again as its agent reconnected, maybe as another process
 	fromEarlier     bool          // it was ordered from an earlier incarnation with the same id, and is not ordered again
 	status          RunStatus     // as last listed
 	probationEnd    time.Duration // until then a crash of its worker is soon after its start; 0 unless workers have crashed under its task
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -85,7 +85,7 @@
 
 func (c *Core) handleRefusal(w *worker, f Refusal) {
 	r := w.runs[runKey{f.Task, f.Run}]
-	if r == nil {
+	if r == nil || f.Unblocked && r.sentToNext {
 		return
 	}
 	if f.Reason == RefusedFence {
--- a/internal/control/lwdispatch/evacuation_test.go
+++ b/internal/control/lwdispatch/evacuation_test.go
@@ -153,7 +153,7 @@
 		expectStarts(t, f.takeStarts("w2")) // the withdrawn run may have begun
 		info := f.infos["w1"]
 		token, _ := f.core.TokenAndCursor(info.Incarnation)
-		f.core.Report(Report{Info: info, Token: token, Refused: []Refusal{{"j.0.0.0", 1, RefusedStopped}}})
+		f.core.Report(Report{Info: info, Token: token, Refused: []Refusal{{Task: "j.0.0.0", Run: 1, Reason: RefusedStopped}}})
 		f.step()
 		expectStarts(t, f.takeStarts("w2"), "j.0.0.0/2")
 	})
--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -76,7 +76,7 @@
 		}},
 		{"by a refusal", func(f *fixture, s StartRun) {
 			token, _ := f.core.TokenAndCursor(f.infos["w1"].Incarnation)
-			f.core.Report(Report{Info: f.infos["w1"], Token: token, Refused: []Refusal{{s.Task, s.Run, RefusedNoCapacity}}})
+			f.core.Report(Report{Info: f.infos["w1"], Token: token, Refused: []Refusal{{Task: s.Task, Run: s.Run, Reason: RefusedNoCapacity}}})
 		}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -449,3 +449,40 @@
 		t.Errorf("stops of %v were ordered, want none", stops)
 	}
 }
+
+// Guards against a run that is released by the late refusal of an agent's process that has ended:
+// the worker has not blocked the run, and the next process has carried out the order, which was sent
+// to it again.
+func TestRefusalOfUnblockedRunHoldsForItsProcessOnly(t *testing.T) {
+	for _, x := range []struct {
+		name      string
+		reconnect bool
+		unblocked bool
+		released  bool
+	}{
+		{"of the process that got the order", false, true, true},
+		{"of an earlier process", true, true, false},
+		{"of a run that its worker has blocked", true, false, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.join(workerInfo("w1", 4))
+			f.submit("j", tasks(1, 1, testEstimate))
+			expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+			f.join(workerInfo("w2", 4))
+			if x.reconnect {
+				f.core.AgentReconnected(f.infos["w1"].Incarnation)
+				f.step()
+				expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+			}
+			token, _ := f.core.TokenAndCursor(f.infos["w1"].Incarnation)
+			f.core.Report(Report{Info: f.infos["w1"], Token: token, Refused: []Refusal{{Task: "j.0.0.0", Run: 1, Reason: RefusedUnhealthy, Unblocked: x.unblocked}}})
+			f.step()
+			if x.released {
+				expectStarts(t, f.takeStarts("w2"), "j.0.0.0/2")
+			} else {
+				expectStarts(t, f.takeStarts("w2"))
+			}
+		})
+	}
+}
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -321,6 +321,7 @@
 		return
 	}
 	for _, r := range w.sortedRuns() {
+		r.sentToNext = r.sentToNext || r.phase == runOrdered
 		c.resend(r)
 		if r.phase != runStopping && r.cpuPercent < fullPercent {
 			c.sendOrder(w, LimitRunCPU{r.task.name, r.id, r.cpuPercent})
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -102,6 +102,9 @@
 	Task   lwunit.TaskID `json:"t"`
 	Run    lwjob.RunID   `json:"r"`
 	Reason RefusalReason `json:"why"`
+	// Unblocked is set if the worker did not take the stop that would keep the run from beginning.
+	// The process of the agent that says so sends no copy of the start; a later one may.
+	Unblocked bool `json:"unblocked,omitempty"`
 }
 
 // Report is the report of an agent to the leader about its worker.
--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -466,6 +466,43 @@
 	})
 }
 
+// Guards against a refusal that the leader takes for one of all processes of the agent although the
+// worker has not blocked the run, and against one that it cannot take for as long as the lease lasts:
+// if the start is ordered again, the run is blocked once the worker is healthy.
+func TestRunThatUnhealthyWorkerHasNotBlocked(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		last := func() (f lwdispatch.Refusal) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			for _, m := range l.reports {
+				if len(m.Refused) > 0 {
+					f = m.Refused[len(m.Refused)-1]
+				}
+			}
+			return f
+		}
+		w.setCalls(unhealthyWorker{w})
+		sendOrders(t.Context(), r, testToken, startOrder("j.0.0.0", 1))
+		time.Sleep(time.Second)
+		if want := (lwdispatch.Refusal{Task: "j.0.0.0", Run: 1, Reason: lwdispatch.RefusedUnhealthy, Unblocked: true}); last() != want {
+			t.Errorf("reported %+v, want %+v", last(), want)
+		}
+		again := startOrder("j.0.0.0", 1)
+		again.Repeated = true
+		sendOrders(t.Context(), r, testToken, again)
+		time.Sleep(time.Second)
+		if want := (lwdispatch.Refusal{Task: "j.0.0.0", Run: 1, Reason: lwdispatch.RefusedStopped, Unblocked: true}); last() != want {
+			t.Errorf("reported %+v, want %+v", last(), want)
+		}
+		w.setCalls(nil)
+		time.Sleep(time.Second)
+		if want := (lwdispatch.Refusal{Task: "j.0.0.0", Run: 1, Reason: lwdispatch.RefusedStopped}); last() != want {
+			t.Errorf("reported %+v, want %+v", last(), want)
+		}
+		expectStarts(t, w, "j.0.0.0", 0)
+	})
+}
+
 // Guards against tasks that wait until the lease of a worker ends although it has said that it
 // leaves, and left: nothing runs on it any more.
 func TestDeregisteredWorkerThatRefusesConnectionsHasEnded(t *testing.T) {
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -77,7 +77,7 @@
 	}
 	defer r.releaseOrder(r.startsInProgress, key)
 	mayHaveStarted := o.Repeated // this process or its predecessor may have sent a start that was or will be carried out
-	for r.isCurrent(c) && ctx.Err() == nil && !r.stopRequested(key) && !r.wasShown(key) && !r.refuseBlocked(c, key) {
+	for r.isCurrent(c) && ctx.Err() == nil && !r.stopRequested(key) && !r.wasShown(key) && !r.refuseBlocked(ctx, c, key) {
 		if r.isDraining() {
 			r.handleRefusal(ctx, c, o, lwdispatch.RefusedDraining, mayHaveStarted)
 			return
@@ -165,16 +165,19 @@
 // refuseBlocked reports the refusal of a run again if it was reported before, as the leader
 // may have ordered it again meanwhile. The next incarnation with the same id would not know
 // that it is blocked.
-func (r *Runner) refuseBlocked(c Call, key runKey) bool {
+func (r *Runner) refuseBlocked(ctx context.Context, c Call, key runKey) bool {
 	r.mu.Lock()
-	again := r.info.Incarnation == c.Incarnation && r.blocked[key]
+	again, unblocked := r.info.Incarnation == c.Incarnation && r.blocked[key], r.unblocked[key]
 	if again {
-		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: lwdispatch.RefusedStopped})
+		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: lwdispatch.RefusedStopped, Unblocked: unblocked})
 	}
 	r.mu.Unlock()
 	if again {
 		r.requestReport(false)
 	}
+	if again && unblocked {
+		r.stop(ctx, c, lwdispatch.StopRun{Task: key.task, Run: key.run}) // the leader may not take the refusal
+	}
 	return again
 }
 
@@ -302,8 +305,8 @@
 	ok = ok && r.info.Incarnation == c.Incarnation
 	if ok {
 		delete(r.refusalReasons, key)
-		r.blocked[key] = true
-		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: reason})
+		r.blocked[key], r.unblocked[key] = true, true
+		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: reason, Unblocked: true})
 	}
 	r.mu.Unlock()
 	if ok {
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -310,6 +310,7 @@
 		}
 		r.refusals = append(r.refusals, lwdispatch.Refusal{Task: key.task, Run: key.run, Reason: r.reasonOf(key)})
 		r.blocked[key] = true
+		delete(r.unblocked, key)
 		delete(r.repeatedAt, key)
 		found = true
 	}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -93,6 +93,7 @@
 	refusals          []lwdispatch.Refusal                // not reported yet
 	shown             map[runKey]bool                     // runs that lists of this incarnation have shown, in progress or ended
 	blocked           map[runKey]bool                     // runs that were reported as refused and can never begin
+	unblocked         map[runKey]bool                     // those of them that the worker has not blocked, so that another process could start them
 	repeatedAt        map[runKey]time.Duration            // when the start of a run that no lists have shown was last sent again
 	refusalReasons    map[runKey]lwdispatch.RefusalReason // of runs that are stopped because their start was refused
 	starting          map[runKey]bool                     // runs with a start in progress
@@ -130,6 +131,7 @@
 	r.refusals = nil
 	r.refusalReasons = make(map[runKey]lwdispatch.RefusalReason)
 	r.shown, r.blocked, r.repeatedAt = make(map[runKey]bool), make(map[runKey]bool), make(map[runKey]time.Duration)
+	r.unblocked = make(map[runKey]bool)
 	r.starting = make(map[runKey]bool)
 	r.stopping = make(map[runKey]bool)
 	r.newestLimit = make(map[runKey]int64)
--- a/internal/worker/lwrunner/schedule_test.go
+++ b/internal/worker/lwrunner/schedule_test.go
@@ -639,6 +639,7 @@
 	{[]eventKind{refusedConns, lateMessages, lostMessages, reconnections}, 74, "a late report gave up a worker that answered again"},
 	{[]eventKind{lateCalls, sameID}, 1, "a start began on the next incarnation with the same id after its run was released"},
 	{[]eventKind{lateHeartbeats, sameID}, 6, "a start began on the next incarnation with the same id after its run was released"},
+	{[]eventKind{refusals, agentRestarts, lateMessages, lostMessages}, 138, "a late refusal released a run that the agent's next process had begun"},
 	{[]eventKind{lateHeartbeats, sameID}, 51, "the next incarnation with the same id forgot an end that was not recorded"},
 }
 
--- a/internal/worker/lwrunner/schedule_worker_test.go
+++ b/internal/worker/lwrunner/schedule_worker_test.go
@@ -178,7 +178,10 @@
 }
 
 func (w *incarnation) stop(c lwrunner.Call, o lwdispatch.StopRun) error {
-	if c.Token < w.token {
+	switch {
+	case w.m.refusal == lwdispatch.RefusedUnhealthy:
+		return refuse(lwdispatch.RefusedUnhealthy)
+	case c.Token < w.token:
 		return refuse(lwdispatch.RefusedFence)
 	}
 	w.token = c.Token
