Announce backend servers again after a registration without an answer

Cause: an agent had its backend servers announced again only when the registration of its worker was answered. If it was committed and the answer lost, the next exchange asked for no other one, and servers that control had removed with the lost worker stayed unknown until the agent was started again.

Change: they are announced again after each attempt to register.

Before, TestRegistrationWithoutAnswerAnnouncesBackendsAgain failed: one announcement, want two. It holds now, and so do the other tests of lwagent.

--- a/internal/worker/lwagent/sync.go
+++ b/internal/worker/lwagent/sync.go
@@ -213,12 +213,12 @@
 func (a *Agent) register(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, longCallTimeout)
 	defer cancel()
+	defer a.backends.announceAgain() // also without an answer, since the worker may be registered
 	if _, err := a.client.Propose(call, lwstate.RegisterWorker{Spec: a.cfg.Worker, Incarnation: a.cfg.Incarnation}); err != nil {
 		a.log.Debug("registration of the worker failed", zap.Error(err))
 		return false
 	}
 	a.assignedRevision = 0
-	a.backends.announceAgain()
 	a.log.Info("worker registered", zap.String("worker", string(a.cfg.Worker.ID)))
 	return true
 }
