--- a/internal/control/lwcontrol/roster_test.go
+++ b/internal/control/lwcontrol/roster_test.go
@@ -1,6 +1,7 @@
 package lwcontrol
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,3 +113,33 @@
 		t.Errorf("%d orders for a worker that is not on the roster %v", len(o.Orders), state.Queues().Roster())
 	}
 }
+
+// Guards against the placements and ends that an earlier leadership has noted overruling what a
+// later leader has recorded since.
+func TestRunsAreRecordedOnlyInTermInWhichTheyWereNoted(t *testing.T) {
+	for name, other := range map[string]bool{"in the same term": false, "in another term": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var recorded atomic.Bool
+			n := leadingNode(t, func(c lwstate.Command) {
+				if _, ok := c.(lwstate.RecordRuns); ok {
+					recorded.Store(true)
+				}
+			})
+			d, r := n.dispatcher, n.replica
+			is.NoErr(d.lockAsLeader(r))
+			if other {
+				d.term++
+			}
+			d.pendingPlacements = []lwjob.Placement{{Task: "j.0.0.0", Incarnation: rosterEntry.Incarnation}}
+			d.recordRuns(t.Context(), r)
+			d.mu.Unlock()
+			if !other {
+				eventually(t, "the placement is recorded", recorded.Load)
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			is.True(!recorded.Load())
+		})
+	}
+}
