--- a/internal/control/lwcontrol/bootstrap_test.go
+++ b/internal/control/lwcontrol/bootstrap_test.go
@@ -11,10 +11,13 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwlease"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
+	"lavenderweir.example/lavenderweir/internal/control/lwreplica"
+	"lavenderweir.example/lavenderweir/internal/control/lwwal"
 	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
 )
 
@@ -155,3 +158,25 @@
 	mu.Unlock()
 	expectOneGroup(t, members)
 }
+
+// Guards against a replica that lost its disk becoming a voter as the one that it was, and against
+// one that belongs to a group becoming a voter of a second one.
+func TestFirstMembershipNamesIdentity(t *testing.T) {
+	is := is.New(t)
+	wal, contents, err := lwwal.Open(lwdisk.NewMemory(), lwwal.Identity{Replica: "new"})
+	is.NoErr(err)
+	n := &Node{id: "new", wal: wal, contents: contents, log: zap.NewNop(), initialMembership: make(chan lwreplica.Membership, 1)}
+	membership := func(ids ...lwunit.ReplicaID) (m lwreplica.Membership) {
+		for _, id := range ids {
+			m.Voters = append(m.Voters, lwreplica.Member{ID: id, Address: "1"})
+		}
+		return m
+	}
+	is.Equal(lwfault.KindOf(n.onInit(initParams{"g", membership("former", "b", "c")})), lwfault.Fenced)
+	is.Equal(n.contents.Identity.Cluster, "")
+	is.NoErr(n.onInit(initParams{"g", membership("new", "b", "c")}))
+	is.NoErr(n.onInit(initParams{"g", membership("new", "b", "c")})) // again, since the answer was lost
+	is.Equal(lwfault.KindOf(n.onInit(initParams{"h", membership("new", "d", "e")})), lwfault.Conflict)
+	is.Equal(n.contents.Identity.Cluster, "g")
+	is.Equal(n.contents.State.Snapshot.Membership, membership("new", "b", "c"))
+}
