--- a/internal/control/lwcontrol/bootstrap_test.go
+++ b/internal/control/lwcontrol/bootstrap_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -180,3 +181,36 @@
 	is.Equal(n.contents.Identity.Cluster, "g")
 	is.Equal(n.contents.State.Snapshot.Membership, membership("new", "b", "c"))
 }
+
+// Guards against a first member that does not answer being taken for one that does not exist: the
+// others would form a group without it, and it one of its own.
+func TestGroupIsBootstrappedOnceEveryFirstMemberHasAnswered(t *testing.T) {
+	var members []*firstMember
+	var seeds []string
+	for range 3 {
+		m := &firstMember{endpoint: newTestEndpoint(t), folder: t.TempDir()}
+		members = append(members, m)
+		seeds = append(seeds, m.endpoint.Address())
+	}
+	t.Cleanup(func() {
+		for _, m := range members {
+			if m.Node != nil {
+				m.cancel()
+				<-m.done
+			}
+		}
+	})
+	silent := members[2]
+	silent.endpoint.Handle(methodStatus, func(context.Context, *lwrpc.Session, json.RawMessage) (any, error) { return nil, errLost })
+	for _, m := range members[:2] {
+		m.start(t, seeds)
+	}
+	time.Sleep(5 * joinRetryInterval)
+	for _, m := range members[:2] {
+		m.mu.RLock()
+		is.New(t).Equal(m.contents.Identity.Cluster, "")
+		m.mu.RUnlock()
+	}
+	silent.start(t, seeds) // it answers from now on
+	expectOneGroup(t, members)
+}
--- a/internal/control/lwreplica/membership_test.go
+++ b/internal/control/lwreplica/membership_test.go
@@ -59,6 +59,28 @@
 	is.True(c.LeaseEnd() > end)
 }
 
+// Guards against an answer to a message of an earlier leadership, by whose clock it was sent,
+// counting as contact with this one.
+func TestAnswerToEarlierLeadershipDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	c := threeVoters("a")["a"]
+	now := time.Duration(0)
+	receive := func(body lwreplica.Message) {
+		c.Step(now, lwreplica.Receive{Envelope: lwreplica.Envelope{From: "b", To: "a", Body: body}})
+	}
+	for ; c.Role() != lwreplica.PreCandidate; now += 10 * time.Millisecond {
+		c.Step(now, lwreplica.Tick{})
+	}
+	receive(lwreplica.VoteResponse{Term: 1, Granted: true, Pre: true})
+	receive(lwreplica.VoteResponse{Term: 1, Granted: true})
+	is.Equal(c.Role(), lwreplica.Leader)
+	c.Step(now, lwreplica.Persisted{Index: 1, Term: 1})
+	receive(lwreplica.AppendResponse{Term: 1, Match: 1, SentAt: now - 1})
+	is.Equal(c.CommitIndex(), lwreplica.Index(0))
+	receive(lwreplica.AppendResponse{Term: 1, Match: 1, SentAt: now})
+	is.Equal(c.CommitIndex(), lwreplica.Index(1))
+}
+
 // Guards against changes of the membership after which two quorums have no voter in common: of two
 // voters at once, before the one before is committed, or by a leader that does not know yet whether
 // an earlier leader's change is.
