--- a/internal/control/lwcontrol/leader_test.go
+++ b/internal/control/lwcontrol/leader_test.go
@@ -7,12 +7,15 @@
 
 	"github.com/matryer/is"
 
+	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwlog"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwlease"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
 	"lavenderweir.example/lavenderweir/internal/control/lwplacement"
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
+	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
 )
 
 // losingLeader returns a node that leads, in whose term the leases of worker w have
@@ -141,3 +144,32 @@
 		is.Equal(task().Crashes[0].Age.Std(), 18*time.Second)
 	})
 }
+
+// Guards against a lease granted, or an order sent, by a replica whose leadership has ended since it
+// began to handle the call: another leader counts neither.
+func TestNothingIsGivenOutAfterLeadershipWasLost(t *testing.T) {
+	t.Run("a lease", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := losingLeader(t)
+			_, err := n.leader.grant(n.replica, nil, syncOf("v"))
+			is.NoErr(err)
+			n.leader.term++ // the replica leads in another term
+			res, err := n.leader.grant(n.replica, nil, syncOf("v"))
+			is.Equal(lwfault.KindOf(err), lwfault.NotLeader)
+			is.Equal(res.Lease.Std(), time.Duration(0))
+		})
+	})
+	t.Run("an order", func(t *testing.T) {
+		is := is.New(t)
+		n := leadingNode(t, func(lwstate.Command) {})
+		d := n.dispatcher
+		is.NoErr(d.lockAsLeader(n.replica))
+		defer d.mu.Unlock()
+		d.term++
+		d.sessions[rosterEntry.Incarnation] = new(lwrpc.Session)
+		before := ordersUnsent.Value()
+		d.send(t.Context(), n.replica, lwdispatch.WorkerOrders{Incarnation: rosterEntry.Incarnation, Orders: []lwdispatch.Order{lwdispatch.StopRun{}}})
+		is.Equal(ordersUnsent.Value(), before+1)
+	})
+}
