Add announcements of foreign workers, silences and freezes to the schedules

Cause: a schedule had no announcement that its worker had not sent, no worker that answers late while its runs go on, and no agent that stands still. So the schedules passed on code that takes an announcement for the end of a worker.

Change: four kinds of events. foreign-heartbeats: an agent hears of its worker's id with a later start, of an id that nobody has, of the worker of another machine with its start or a later one, or of an earlier incarnation, also as the first call after a restart, and as deregistrations. silent-workers: a worker answers no call for 0.1 to 3 s and carries the calls out at once or at the end. frozen-agents: an agent handles nothing for 0.05 to 3 s. deregistrations: a worker says that it ends and runs on for up to 6 s. They draw from subjects of their own. Eight sets in TestSchedules, seven seeds in TestRegressionSchedules.

--- a/internal/worker/lwrunner/schedule_leader_test.go
+++ b/internal/worker/lwrunner/schedule_leader_test.go
@@ -21,8 +21,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu      sync.Mutex
-	session *session
+	mu          sync.Mutex
+	session     *session
+	frozenUntil time.Time // it handles nothing
 }
 
 // session is a connection of an agent process.
@@ -48,6 +49,7 @@
 		err   error
 	}
 	s := a.m.s
+	a.awaitThaw("report")
 	from := a.currentSession()
 	result := make(chan answer, 1)
 	there, back := s.crossing("report", a.m.name), s.crossing("reply", a.m.name)
@@ -60,12 +62,10 @@
 			}
 		})
 	}
-	select {
-	case x := <-result:
-		return x.reply, x.err
-	case <-ctx.Done():
-		return lwlink.ReportReply{}, &lwfault.Fault{Kind: lwfault.Timeout, Cause: ctx.Err()}
-	}
+	x := await(ctx, a, "report", result, func() answer {
+		return answer{err: &lwfault.Fault{Kind: lwfault.Timeout, Cause: ctx.Err()}}
+	})
+	return x.reply, x.err
 }
 
 // rosterChange is a proposal to change the roster.
@@ -319,6 +319,7 @@
 		return
 	}
 	l.s.after(way.after, func() {
+		c.a.awaitThaw("orders")
 		if c.a.ctx.Err() == nil {
 			c.a.runner.HandleOrders(c.a.ctx, m)
 		}
--- a/internal/worker/lwrunner/schedule_test.go
+++ b/internal/worker/lwrunner/schedule_test.go
@@ -57,11 +57,16 @@
 	leaderChanges  eventKind = "leader-changes"
 	lateCommits    eventKind = "late-commits"
 	cutOffs        eventKind = "cut-offs" // of agents from the leader, for up to 9 s
+
+	foreignHeartbeats eventKind = "foreign-heartbeats" // at agents, and deregistrations, of incarnations that do not run on their machines
+	silentWorkers     eventKind = "silent-workers"     // answer no call while their runs go on
+	frozenAgents      eventKind = "frozen-agents"      // handle nothing for a while, and then all that has waited
+	deregistrations   eventKind = "deregistrations"    // of workers that run on for up to 6 s
 )
 
 var allKinds = []eventKind{
 	lateMessages, lostMessages, reconnections, agentRestarts, refusals, refusedConns, lateCalls, slowAnswers, crashes, sameID, powerLosses, lateHeartbeats,
-	drains, capacity, cancellations, leaderChanges, lateCommits, cutOffs,
+	drains, capacity, cancellations, leaderChanges, lateCommits, cutOffs, foreignHeartbeats, silentWorkers, frozenAgents, deregistrations,
 }
 
 const (
@@ -263,11 +268,17 @@
 	a := &agent{m: m}
 	a.ctx, a.cancel = context.WithCancel(s.ctx)
 	a.session = &session{a}
-	a.runner = lwrunner.New("agent-"+m.name, client{m}, a, s.agentLog().With(zap.String("agent", m.name)))
+	a.runner = lwrunner.New("agent-"+m.name, client{m, a}, a, s.agentLog().With(zap.String("agent", m.name)))
 	s.mu.Lock()
 	m.agent = a
+	restarted := len(m.lives) > 0
 	s.mu.Unlock()
 	go a.runner.Run(a.ctx)
+	if restarted && s.on(foreignHeartbeats) {
+		if rng := s.rng("first call", m.name); rng.IntN(2) == 0 {
+			go s.callForeign(m, rng)
+		}
+	}
 }
 
 // submitJobs submits jobs until the schedule ends.
@@ -354,6 +365,14 @@
 					m.millicores = lwunit.Millicores(1000 * (1 + rng.IntN(3)))
 				}
 			})
+		case foreignHeartbeats:
+			s.callForeign(m, rng)
+		case silentWorkers:
+			s.silence(m, rng)
+		case frozenAgents:
+			s.freeze(m, between(rng, 50*time.Millisecond, 3*time.Second))
+		case deregistrations:
+			s.endEarly(m, rng)
 		default:
 			return
 		}
@@ -623,6 +642,14 @@
 		{powerLosses, lateHeartbeats, cutOffs},
 		{powerLosses, lateHeartbeats, leaderChanges},
 		{lateMessages, lostMessages, refusedConns, refusals, lateCalls},
+		{foreignHeartbeats, silentWorkers},
+		{foreignHeartbeats, silentWorkers, leaderChanges},
+		{foreignHeartbeats, silentWorkers, agentRestarts, cutOffs},
+		{foreignHeartbeats, silentWorkers, sameID, lateHeartbeats},
+		{foreignHeartbeats, silentWorkers, powerLosses, lateHeartbeats, leaderChanges},
+		{foreignHeartbeats, silentWorkers, frozenAgents, lateMessages, lostMessages},
+		{foreignHeartbeats, frozenAgents, agentRestarts, leaderChanges},
+		{deregistrations, refusedConns, silentWorkers},
 	})
 }
 
@@ -640,6 +667,13 @@
 	{[]eventKind{lateCalls, sameID}, 1, "a start began on the next incarnation with the same id after its run was released"},
 	{[]eventKind{lateHeartbeats, sameID}, 6, "a start began on the next incarnation with the same id after its run was released"},
 	{[]eventKind{lateHeartbeats, sameID}, 51, "the next incarnation with the same id forgot an end that was not recorded"},
+	{[]eventKind{foreignHeartbeats, silentWorkers}, 2, "the agent of a silent worker took an announcement with its id for its end"},
+	{[]eventKind{foreignHeartbeats, silentWorkers}, 41, "the leader took a report of a later incarnation by another agent for a worker's end"},
+	{[]eventKind{foreignHeartbeats, silentWorkers}, 48, "another agent reported that a worker had ended, as its own worker has another id"},
+	{[]eventKind{foreignHeartbeats, silentWorkers, leaderChanges}, 9, "the next leader took a report of an incarnation that had not answered for the end of the one that it awaited"},
+	{[]eventKind{foreignHeartbeats, agentRestarts}, 10, "a restarted agent took the first announcement with its worker's id for that worker's, as the worker refused its token"},
+	{[]eventKind{foreignHeartbeats, silentWorkers, agentRestarts, cutOffs}, 56, "an incarnation that had not begun kept a worker out for good"},
+	{[]eventKind{deregistrations, refusedConns}, 5, "a deregistration beside refused connections was taken for a worker's end"},
 }
 
 // Guards against each fault that a schedule has shown.
--- a/internal/worker/lwrunner/schedule_worker_test.go
+++ b/internal/worker/lwrunner/schedule_worker_test.go
@@ -39,6 +39,10 @@
 	slowAnswers  bool
 	cutOff       bool // its agent from the leader
 	millicores   lwunit.Millicores
+	lives        []lwjob.WorkerIncarnation // all incarnations, the newest last
+	silentUntil  time.Time                 // its worker answers no call
+	defersCalls  bool                      // while it is silent
+	withoutBeats bool                      // its worker sends no heartbeat
 }
 
 // incarnation is a worker that follows the worker protocol.
@@ -77,7 +81,7 @@
 		running: make(map[runKey]*activeRun), blocked: make(map[lwunit.TaskID]lwjob.RunID),
 		id: lwjob.WorkerIncarnation{Worker: id, StartedAt: lwunit.Millis(time.Now().UnixMilli())},
 	}
-	m.worker = w
+	m.worker, m.lives = w, append(m.lives, w.id)
 	m.s.logf("%s: worker %v is up", m.name, w.id)
 	firstBeat := between(rng, time.Millisecond, 10*time.Millisecond)
 	if m.s.on(lateHeartbeats) {
@@ -95,10 +99,13 @@
 	w.seq++
 	seq, info := w.seq, w.info()
 	a := w.m.agent
+	if w.m.withoutBeats {
+		a = nil
+	}
 	rng := w.m.s.rng("heartbeat", w.m.name)
 	w.m.s.mu.Unlock()
 	if a != nil {
-		a.runner.Announce(info, seq)
+		a.announce(info, seq)
 	}
 	w.m.s.after(between(rng, heartbeatInterval*9/10, heartbeatInterval*11/10), w.heartbeat)
 }
@@ -203,17 +210,22 @@
 }
 
 // client connects one agent process to the worker on its machine.
-type client struct{ m *machine }
+type client struct {
+	m *machine
+	a *agent
+}
 
 // conn is a connection that an incarnation has accepted, or none because the machine had no power.
 type conn struct {
 	m *machine
+	a *agent
 	w *incarnation
 }
 
 // Connect opens a connection to the incarnation that is up.
 func (p client) Connect(ctx context.Context) (lwrunner.Conn, error) {
 	s := p.m.s
+	p.a.awaitThaw("connect")
 	s.mu.Lock()
 	rng := s.rng("connect", p.m.name)
 	s.mu.Unlock()
@@ -224,11 +236,11 @@
 	defer s.mu.Unlock()
 	switch {
 	case p.m.dark:
-		return &conn{p.m, nil}, nil
+		return &conn{p.m, p.a, nil}, nil
 	case p.m.refusesConns || p.m.worker == nil:
 		return nil, &lwrunner.ConnRefusedError{Cause: errRefused}
 	}
-	return &conn{p.m, p.m.worker}, nil
+	return &conn{p.m, p.a, p.m.worker}, nil
 }
 
 func (p *conn) Usable() bool { return true }
@@ -244,9 +256,19 @@
 	errRefused = lwfault.New(lwfault.Unknown, "connection refused")
 )
 
-// call carries out a call, maybe after its caller has given it up, and delivers the
-// answer. A late call may be carried out by a later incarnation with the same id.
+// call carries out a call, maybe after its caller has given it up, and returns the
+// answer.
 func (p *conn) call(ctx context.Context, c lwrunner.Call, label string, carryOut func(w *incarnation) error) error {
+	p.a.awaitThaw(label)
+	if ctx.Err() != nil {
+		return timedOut(ctx)
+	}
+	return await(ctx, p.a, label, p.deliver(c, label, carryOut), func() error { return timedOut(ctx) })
+}
+
+// deliver carries out a call and delivers the answer, if there is any. A late call may be carried
+// out by a later incarnation with the same id.
+func (p *conn) deliver(c lwrunner.Call, label string, carryOut func(w *incarnation) error) <-chan error {
 	s := p.m.s
 	s.mu.Lock()
 	rng := s.rng("call", p.m.name, label)
@@ -261,6 +283,12 @@
 	s.mu.Unlock()
 	result := make(chan error, 1)
 	s.after(arrival, func() {
+		s.mu.Lock()
+		defers := p.m.defersCalls
+		s.mu.Unlock()
+		if defers && !s.awaitVoice(s.ctx, p.m, label) {
+			return
+		}
 		s.mu.Lock()
 		w := p.m.worker
 		var err error
@@ -280,14 +308,13 @@
 			s.logf("%s: %s under %d for %v: %v", p.m.name, label, c.Token, c.Incarnation, err)
 		}
 		s.mu.Unlock()
-		s.after(answer, func() { result <- err })
+		s.after(answer, func() {
+			if s.awaitVoice(s.ctx, p.m, label) {
+				result <- err
+			}
+		})
 	})
-	select {
-	case err := <-result:
-		return err
-	case <-ctx.Done():
-		return timedOut(ctx)
-	}
+	return result
 }
 
 func (p *conn) Start(ctx context.Context, c lwrunner.Call, o lwdispatch.StartRun, until lwrunner.LeaseEnd) error {
@@ -303,9 +330,21 @@
 const listCheckInterval = 5 * time.Millisecond // of a long poll
 
 func (p *conn) Poll(ctx context.Context, c lwrunner.Call, until lwrunner.LeaseEnd, cursor int64, wait time.Duration) (lwrunner.RunLists, error) {
+	p.a.awaitThaw("poll")
+	if ctx.Err() != nil {
+		return lwrunner.RunLists{}, timedOut(ctx)
+	}
+	l, err := p.pollWorker(ctx, c, until, cursor, wait)
+	if p.a.awaitThaw("poll") && ctx.Err() != nil && p.m.s.rng("late answer", p.m.name, "poll").IntN(2) == 0 {
+		return lwrunner.RunLists{}, timedOut(ctx)
+	}
+	return l, err
+}
+
+func (p *conn) pollWorker(ctx context.Context, c lwrunner.Call, until lwrunner.LeaseEnd, cursor int64, wait time.Duration) (lwrunner.RunLists, error) {
 	var incarnationAsked *incarnation
 	var lastEnd int64
-	err := p.call(ctx, c, "poll", func(w *incarnation) error {
+	answer := p.deliver(c, "poll", func(w *incarnation) error {
 		if c.Token < w.token {
 			return refuse(lwdispatch.RefusedFence)
 		}
@@ -320,8 +359,13 @@
 		incarnationAsked, lastEnd = w, w.lastEnd
 		return nil
 	})
-	if err != nil {
-		return lwrunner.RunLists{}, err
+	select {
+	case err := <-answer:
+		if err != nil {
+			return lwrunner.RunLists{}, err
+		}
+	case <-ctx.Done():
+		return lwrunner.RunLists{}, timedOut(ctx)
 	}
 	return p.awaitEnd(ctx, incarnationAsked, lastEnd, wait)
 }
@@ -349,7 +393,7 @@
 				delay = between(rng, time.Millisecond, 250*time.Millisecond)
 			}
 			s.mu.Unlock()
-			if !sleep(ctx, delay) {
+			if !sleep(ctx, delay) || !s.awaitVoice(ctx, p.m, "poll") {
 				return lwrunner.RunLists{}, timedOut(ctx)
 			}
 			return l, nil
