--- a/internal/control/lwcontrol/roster_test.go
+++ b/internal/control/lwcontrol/roster_test.go
@@ -143,3 +143,29 @@
 		})
 	}
 }
+
+// Guards against a change of the roster overtaking the one before: an incarnation that runs tasks
+// could be left off it.
+func TestRosterChangesAreProposedOneAtATime(t *testing.T) {
+	is := is.New(t)
+	var changes atomic.Int64
+	n := leadingNode(t, func(c lwstate.Command) {
+		if _, ok := c.(lwstate.ChangeRoster); ok {
+			changes.Add(1)
+		}
+	})
+	d, r := n.dispatcher, n.replica
+	is.NoErr(d.lockAsLeader(r))
+	d.rosterInFlight = true
+	d.pendingRoster = lwstate.ChangeRoster{Enrol: []lwjob.RosterEntry{rosterEntry}}
+	d.changeRoster(t.Context(), r)
+	is.Equal(len(d.pendingRoster.Enrol), 1)
+	d.mu.Unlock()
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(changes.Load(), int64(0))
+	d.mu.Lock()
+	d.rosterInFlight = false // the one before was answered
+	d.changeRoster(t.Context(), r)
+	d.mu.Unlock()
+	eventually(t, "the change is recorded", func() bool { return changes.Load() == 1 })
+}
