Keep a second connection open in the test of lists of the same millisecond

Cause: since calls go over verified connections, the later poll of TestListsOfSameMillisecondKeepRun mostly opened one, and the poll that verifies it took the place of the later poll.

Change: the pool holds two connections before the polls overtake each other; acquiring one reused the only one.

--- a/internal/worker/lwrunner/once_test.go
+++ b/internal/worker/lwrunner/once_test.go
@@ -134,11 +134,17 @@
 		o := &overtakingWorker{fakeWorker: w}
 		w.setCalls(o)
 		time.Sleep(time.Second)
-		second, err := r.pollConns.acquire(t.Context(), Call{testIncarnation, testToken}) // so that the later poll needs no new connection
-		if err != nil {
-			t.Fatal(err)
+		var conns []verifiedConn
+		for range 2 { // so that the later poll needs no new connection
+			conn, err := r.pollConns.acquire(t.Context(), Call{testIncarnation, testToken})
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns = append(conns, conn)
+		}
+		for _, conn := range conns {
+			r.pollConns.release(conn, nil)
 		}
-		r.pollConns.release(second, nil)
 		o.mu.Lock()
 		o.overtake = make(chan struct{})
 		o.mu.Unlock()
