--- a/internal/worker/lwrunner/schedule_test.go
+++ b/internal/worker/lwrunner/schedule_test.go
@@ -645,6 +645,7 @@
 		{foreignHeartbeats, silentWorkers},
 		{foreignHeartbeats, silentWorkers, leaderChanges},
 		{foreignHeartbeats, silentWorkers, agentRestarts, cutOffs},
+		{foreignHeartbeats, silentWorkers, agentRestarts, cutOffs, crashes},
 		{foreignHeartbeats, silentWorkers, sameID, lateHeartbeats},
 		{foreignHeartbeats, silentWorkers, powerLosses, lateHeartbeats, leaderChanges},
 		{foreignHeartbeats, silentWorkers, frozenAgents, lateMessages, lostMessages},
@@ -674,6 +675,7 @@
 	{[]eventKind{foreignHeartbeats, silentWorkers, leaderChanges}, 9, "the next leader took a report of an incarnation that had not answered for the end of the one that it awaited"},
 	{[]eventKind{foreignHeartbeats, agentRestarts}, 10, "a restarted agent took the first announcement with its worker's id for that worker's, as the worker refused its token"},
 	{[]eventKind{foreignHeartbeats, silentWorkers, agentRestarts, cutOffs}, 56, "an incarnation that had not begun kept a worker out for good"},
+	{[]eventKind{foreignHeartbeats, silentWorkers, agentRestarts, cutOffs, crashes}, 24, "in a trial, the leader added an incarnation by another agent while one with its id ran"},
 	{[]eventKind{deregistrations, refusedConns}, 5, "a deregistration beside refused connections was taken for a worker's end"},
 }
 
