Stop the runs of a worker that says that it ends before it is answered

Cause: since a deregistration is no evidence of an end, the runs that a leaving worker has not ended in its time were lost with it and started again only when its lease had ended, or another worker answered in its place.

Change: a deregistration makes the agent report the worker as leaving; the leader has all its runs stopped, which saves their checkpoints, and starts the tasks again as the ends are listed. The agent answers the worker once it lists no runs, or after 0.8 s, since the worker may end with the answer.

--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -212,9 +212,13 @@
 		c.drainWorker(w)
 		return
 	}
-	draining := w.info.Draining
+	draining, leaves := w.info.Draining, info.Leaving && !w.info.Leaving
 	w.info = info
 	w.info.Draining = draining || info.Draining
+	if leaves {
+		c.logDecision(Decision{Kind: DecidedDrain, Worker: info.Incarnation.Worker, Reason: "it has said that it ends"})
+		c.drainWorker(w)
+	}
 }
 
 // withdrawStarts withdraws starts that are not known to be carried out, the newest
@@ -242,7 +246,7 @@
 // they save a checkpoint and continue elsewhere.
 func (c *Core) drainWorker(w *worker) {
 	for _, r := range w.sortedRuns() {
-		if r.task.step.spec.LongRunning || c.expectedTimeLeft(r) > w.info.DrainTimeLeft.Std() {
+		if w.info.Leaving || r.task.step.spec.LongRunning || c.expectedTimeLeft(r) > w.info.DrainTimeLeft.Std() {
 			c.stopRun(r, "its worker is draining")
 		}
 	}
--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -181,3 +181,30 @@
 		t.Error("the earlier incarnation is still known")
 	}
 }
+
+// Guards against runs that are lost with a worker which has said that it ends, though it may still be told to save
+// their checkpoints and stop them.
+func TestRunsOfLeavingWorkerAreStopped(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, time.Second))
+	run := f.startAll("w1")
+	expectStarts(t, run, "j.0.0.0/1")
+	f.join(workerInfo("w2", 4))
+	info := f.infos["w1"]
+	info.Draining, info.DrainTimeLeft = true, lwunit.Duration(time.Minute)
+	f.infos["w1"] = info
+	f.report("w1")
+	if stops := ordered[StopRun](f, "w1"); len(stops) > 0 {
+		t.Errorf("stops of %v were ordered while there is time for them to end", stops)
+	}
+	info.Leaving = true
+	f.infos["w1"] = info
+	f.report("w1")
+	if stops := ordered[StopRun](f, "w1"); len(stops) != 1 {
+		t.Errorf("stops of %v were ordered, want one", stops)
+	}
+	expectStarts(t, f.takeStarts("w2"))
+	f.endRun("w1", run[0], lwjob.EndStopped)
+	expectStarts(t, f.takeStarts("w2"), "j.0.0.0/2")
+}
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -55,6 +55,7 @@
 	Capacity       lwunit.Resources        `json:"capacity"`
 	Draining       bool                    `json:"draining,omitempty"`
 	DrainTimeLeft  lwunit.Duration         `json:"remaining,omitempty"` // least time that a draining worker has left
+	Leaving        bool                    `json:"leaving,omitempty"`   // it has said that it ends, so it has no time left; whether it has ended is not known
 	WarmupTimeLeft lwunit.Duration         `json:"cold,omitempty"`      // time for which the worker is still slow after its start
 	Seq            int64                   `json:"seq,omitempty"`       // rises with each announcement of the incarnation; 0 from agents of an older version
 }
--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -1,6 +1,7 @@
 package lwrunner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -208,3 +209,44 @@
 		}
 	})
 }
+
+// Guards against a worker that is told to end while its runs are being stopped, and against one that is kept waiting
+// after that, or by runs that do not stop.
+func TestDeregistrationIsAnsweredOnceRunsHaveStopped(t *testing.T) {
+	deregister := func(t *testing.T, runs int, stop bool) (took time.Duration) {
+		withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+			for i := range runs {
+				sendOrders(t.Context(), r, testToken, startOrder(lwunit.TaskID(fmt.Sprintf("j.0.0.%d", i)), 1))
+			}
+			time.Sleep(time.Second)
+			if stop {
+				time.AfterFunc(200*time.Millisecond, func() {
+					if !l.lastReport().Info.Leaving {
+						t.Error("the leader is not told that the worker leaves")
+					}
+					sendOrders(t.Context(), r, testToken, lwdispatch.StopRun{Task: "j.0.0.0", Run: 1})
+				})
+			}
+			began := time.Now()
+			r.Deregister(testIncarnation)
+			took = time.Since(began)
+		})
+		return took
+	}
+	for _, x := range []struct {
+		name     string
+		runs     int
+		stop     bool
+		min, max time.Duration
+	}{
+		{"no runs", 0, false, 0, time.Millisecond},
+		{"a run that is stopped", 1, true, 200 * time.Millisecond, 300 * time.Millisecond},
+		{"a run that is not stopped", 1, false, maxLeaveTime, maxLeaveTime + 50*time.Millisecond},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			if took := deregister(t, x.runs, x.stop); took < x.min || took > x.max {
+				t.Errorf("answered after %s, want %s to %s", took, x.min, x.max)
+			}
+		})
+	}
+}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -30,6 +30,7 @@
 	unresponsiveAfterPolls = 3                      // failed polls in a row until the worker counts as unresponsive
 	goneAfterRefusals      = 3                      // refused connections in a row until the worker's process may have ended; a single one may hit a restart of its listener
 	minWorkerClockRate     = 0.98                   // lowest rate of the worker's clock relative to the agent's
+	maxLeaveTime           = 800 * time.Millisecond // for the runs of a worker that leaves to be stopped; it waits a second for an answer
 	decisionLinesPerSecond = 200                    // of each kind, in the decision log
 	maxParallelOrders      = 6                      // calls to the worker at one time, besides the long poll
 )
@@ -178,7 +179,7 @@
 	if info.Draining != r.info.Draining {
 		r.log.Info("worker drains", zap.String("worker", string(info.Incarnation.Worker)), zap.Bool("draining", info.Draining))
 	}
-	info.Draining = info.Draining || r.info.Draining
+	info.Draining, info.Leaving = info.Draining || r.info.Draining, r.info.Leaving
 	r.info = info
 	return r.answered
 }
@@ -299,15 +300,29 @@
 	return conn.Poll(call, c, 0, 0, 0)
 }
 
-// Deregister handles a deregistration: nothing more is started on the worker. It does not show
-// that the worker's process has ended, as anybody may have sent it. StartedAt is 0 if
-// it is not stated.
+// Deregister handles a deregistration: nothing more is started on the worker, and the leader is asked to stop
+// its runs. It does not show that the worker's process has ended, as anybody may have sent it. StartedAt is 0 if
+// it is not stated. Deregister returns once the worker lists no runs, or after maxLeaveTime, since the worker
+// may end when it is answered.
 func (r *Runner) Deregister(i lwjob.WorkerIncarnation) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	current := r.info.Incarnation
-	if r.announced && current.Worker == i.Worker && (i.StartedAt == 0 || i.StartedAt == current.StartedAt) {
-		r.info.Draining = true
-		r.log.Info("worker deregistered", zap.String("worker", string(i.Worker)))
+	if !r.announced || current.Worker != i.Worker || i.StartedAt != 0 && i.StartedAt != current.StartedAt {
+		r.mu.Unlock()
+		return
+	}
+	r.info.Draining, r.info.Leaving = true, true
+	r.log.Info("worker deregistered", append(r.lastContact(), zap.Int64("born", int64(i.StartedAt)))...)
+	r.mu.Unlock()
+	r.requestReport(true)
+	for waited := time.Duration(0); waited < maxLeaveTime && r.listsRuns(current); waited += pollPause {
+		time.Sleep(pollPause)
 	}
 }
+
+// listsRuns reports whether an incarnation is served, answers and has listed runs in progress.
+func (r *Runner) listsRuns(i lwjob.WorkerIncarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info.Incarnation == i && len(r.lists.Running) > 0 && r.failedPolls < unresponsiveAfterPolls && !r.ended
+}
