--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -214,7 +214,7 @@
 // after that, or by runs that do not stop.
 func TestDeregistrationIsAnsweredOnceRunsHaveStopped(t *testing.T) {
 	deregister := func(t *testing.T, runs int, stop bool) (took time.Duration) {
-		withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
 			for i := range runs {
 				sendOrders(t.Context(), r, testToken, startOrder(lwunit.TaskID(fmt.Sprintf("j.0.0.%d", i)), 1))
 			}
