Take an end only from an agent that the incarnation has answered

Cause: an agent that has just been started serves the first incarnation that it hears of, and reported its end once a worker with another id answered, though the incarnation may never have been at its address.

Change: the agent reports an end, and the leader takes it, only of an incarnation that has answered the agent. Until its successor answers, the runs of another one wait for the lease.

--- a/internal/control/lwdispatch/crash_test.go
+++ b/internal/control/lwdispatch/crash_test.go
@@ -151,7 +151,7 @@
 // reportCrash lets the agent of a worker report that its process has ended.
 func (s *crashSimulation) reportCrash(w *crashWorker) {
 	s.core.Advance(s.now, s.wallClock)
-	m := Report{Info: s.infos[w.id], ProcessEnded: true}
+	m := Report{Info: s.infos[w.id], ProcessEnded: true, Answered: true}
 	if !s.oldAgents {
 		m.KnowsCrashes, m.Crashes = true, []Crash{{m.Info.Incarnation, w.held}}
 	}
@@ -366,7 +366,7 @@
 	report := func() Grant {
 		f.core.Advance(f.now, f.wallClock)
 		run := HeldRun{Task: "j.0.0.0", Run: 1, Age: lwunit.Duration(10 * time.Millisecond)}
-		return f.core.Report(Report{Info: gone, ProcessEnded: true, KnowsCrashes: true, Crashes: []Crash{{gone.Incarnation, []HeldRun{run}}}})
+		return f.core.Report(Report{Info: gone, ProcessEnded: true, Answered: true, KnowsCrashes: true, Crashes: []Crash{{gone.Incarnation, []HeldRun{run}}}})
 	}
 	if g := report(); len(g.CrashesRecorded) > 0 {
 		t.Error("the crash is said to be recorded before it is committed")
@@ -413,7 +413,7 @@
 	f.submit("adopted", tasks(1, 1, time.Minute))
 	f.submit("begun", tasks(1, 1, time.Minute))
 	f.startAll("w1")
-	f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true, Crashes: []Crash{{f.infos["w1"].Incarnation, []HeldRun{
+	f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true, KnowsCrashes: true, Crashes: []Crash{{f.infos["w1"].Incarnation, []HeldRun{
 		{Task: "adopted.0.0.0", Run: 1, Age: lwunit.Duration(5 * time.Millisecond), Adopted: true},
 		{Task: "begun.0.0.0", Run: 1, Age: lwunit.Duration(5 * time.Millisecond)},
 	}}}})
--- a/internal/control/lwdispatch/dispatch_test.go
+++ b/internal/control/lwdispatch/dispatch_test.go
@@ -173,10 +173,10 @@
 	})
 	t.Run("it is removed at once when its process has ended", func(t *testing.T) {
 		f, _ := start(t)
-		f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true})
+		f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true})
 		f.step()
 		expectStarts(t, f.takeStarts("w2"), "j.0.0.0/2")
-		f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true})
+		f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true})
 		f.step()
 		if n := len(f.core.workers); n != 1 {
 			t.Errorf("%d workers are known, want the other one", n)
@@ -185,7 +185,7 @@
 	t.Run("a worker that is removed and reports again at once stays on the roster", func(t *testing.T) {
 		f, _ := start(t)
 		info := f.infos["w1"]
-		f.core.Report(Report{Info: info, ProcessEnded: true})
+		f.core.Report(Report{Info: info, ProcessEnded: true, Answered: true})
 		f.core.Report(Report{Info: info})
 		out := f.core.TakeEffects()
 		if len(out.Dismiss) != 0 || len(out.Enrol) != 1 {
--- a/internal/control/lwdispatch/done_test.go
+++ b/internal/control/lwdispatch/done_test.go
@@ -15,10 +15,10 @@
 		afterwards func(f *fixture, done StartRun, older Report)
 	}{
 		{"while its end is not recorded and its worker is given up", func(f *fixture, _ StartRun, _ Report) {
-			f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true})
+			f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true, KnowsCrashes: true})
 		}},
 		{"once its end is recorded after its worker was given up and has returned", func(f *fixture, _ StartRun, _ Report) {
-			f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true})
+			f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true, KnowsCrashes: true})
 			f.core.Report(Report{Info: f.infos["w1"]})
 			f.step()
 			if _, cursor := f.core.TokenAndCursor(f.infos["w1"].Incarnation); cursor != 1 {
--- a/internal/control/lwdispatch/once_test.go
+++ b/internal/control/lwdispatch/once_test.go
@@ -71,7 +71,7 @@
 		release func(f *fixture, s StartRun)
 	}{
 		{"by the end of its worker's process", func(f *fixture, _ StartRun) {
-			f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true})
+			f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true, KnowsCrashes: true})
 			f.core.Report(Report{Info: f.infos["w1"]}) // it answers again
 		}},
 		{"by a refusal", func(f *fixture, s StartRun) {
@@ -412,7 +412,7 @@
 	first := f.startAll("w1")
 	expectStarts(t, first, "j.0.0.0/1")
 	f.join(workerInfo("w2", 4))
-	f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true})
+	f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true, KnowsCrashes: true})
 	f.step()
 	expectStarts(t, f.takeStarts("w2"), "j.0.0.0/2")
 
--- a/internal/control/lwdispatch/overlap_test.go
+++ b/internal/control/lwdispatch/overlap_test.go
@@ -40,7 +40,7 @@
 	first := f.startAll("w1")
 	expectStarts(t, first, "j.0.0.0/1")
 	f.join(workerInfo("w2", 4))
-	f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, KnowsCrashes: true})
+	f.core.Report(Report{Info: f.infos["w1"], ProcessEnded: true, Answered: true, KnowsCrashes: true})
 	f.core.Schedule()
 	expectDecision(t, f, Decision{Kind: DecidedStart, Run: 2, Worker: "w2", Reason: "run 1 on w1 was released before: its process has ended"})
 
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -19,7 +19,7 @@
 		c.handleCrash(crash)
 	}
 	recorded := c.recordedCrashes(m.Crashes)
-	if m.ProcessEnded {
+	if m.ProcessEnded && m.Answered {
 		c.inferCrash(m.Info.Incarnation, c.now-endDetectionTime, m.KnowsCrashes)
 		c.processEnded(m.Info.Incarnation)
 		return Grant{CrashesRecorded: recorded}
--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -24,6 +24,7 @@
 	"a later incarnation at another agent, which did not answer": {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 2}, "agent-w3", false, false},
 	"an earlier incarnation of its agent":                        {lwjob.WorkerIncarnation{Worker: "w0", StartedAt: 0}, "agent-w1", true, false},
 	"the same incarnation at another agent":                      {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, "agent-w3", true, false},
+	"the end of its process by an agent that it never answered":  {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, "agent-w1", false, true},
 	"the end of its process by another agent":                    {lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, "agent-w3", true, true},
 }
 
--- a/internal/control/lwdispatch/types.go
+++ b/internal/control/lwdispatch/types.go
@@ -113,7 +113,7 @@
 	Info         WorkerInfo      `json:"info"`
 	Token        Token           `json:"token"`                   // under which the agent read the lists
 	Unresponsive bool            `json:"silent,omitempty"`        // the worker does not answer its agent; its lease is not renewed
-	ProcessEnded bool            `json:"process_ended,omitempty"` // the process of the worker has ended for good, and all its runs with it
+	ProcessEnded bool            `json:"process_ended,omitempty"` // the process of the worker has ended for good, and all its runs with it; it counts only with Answered
 	Complete     bool            `json:"full,omitempty"`          // Running is complete
 	Clock        lwunit.Millis   `json:"clock,omitempty"`         // clock of the worker when it made the lists; orders reports that arrive out of order; an older agent states it with complete lists only
 	Running      []RunStatus     `json:"running,omitempty"`
--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -133,6 +133,21 @@
 	})
 }
 
+// Guards against two runs of a task: an agent that has just been started hears of the worker of another machine, finds
+// that another one answers, and reports the end of one that runs on elsewhere.
+func TestIncarnationThatNeverAnsweredIsNotReportedAsEnded(t *testing.T) {
+	other := lwjob.WorkerIncarnation{Worker: "w9", StartedAt: 7}
+	withAgent(t, func(_ *testing.T, w *fakeWorker) { w.answersOnlyAs = testIncarnation }, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
+		r.mu.Lock()
+		r.announced, r.info = true, lwdispatch.WorkerInfo{Incarnation: other, Service: "s"} // announced while nobody answered
+		r.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if m := l.lastReport(); m.ProcessEnded || m.Info.Incarnation != other || !m.Unresponsive {
+			t.Errorf("%v is reported, ended %t, unresponsive %t; want %v as unresponsive", m.Info.Incarnation, m.ProcessEnded, m.Unresponsive, other)
+		}
+	})
+}
+
 // Guards against a worker that is never used again: the first announcement that its agent hears after
 // a restart is not its own, and the worker has received a token, so that it fences the agent's probe.
 func TestFencedWorkerIsServedInPlaceOfOneThatNeverAnswered(t *testing.T) {
--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -109,7 +109,7 @@
 		r.log.Warn("another worker answers", append(r.lastContact(), zap.Int64("born", int64(c.Incarnation.StartedAt)), zap.Bool("other_id", otherID))...)
 	}
 	r.ended = true
-	r.replacedByOtherID = r.replacedByOtherID || otherID
+	r.replacedByOtherID = r.replacedByOtherID || otherID && r.answered // one that never answered may not have been here
 	if r.brokenAt == 0 {
 		r.brokenAt = r.clock.Now()
 	}
