Note no end of an incarnation that has never answered

Cause: an agent that has just been started serves the first incarnation that it hears of. If another one answered in its place, it was noted as ended, and stayed so after it had come up: it was reported as unresponsive and given nothing until another one was announced. A first announcement that another worker contradicted at once was served as well.

Change: only an incarnation that has answered the agent is noted as ended; polls that another one answers count as failed. A contradicted announcement is never served.

--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -148,6 +148,53 @@
 	})
 }
 
+// Guards against a worker that is never used: its agent has heard of it, as the first one since its start, before it
+// answered, and another one has answered in its place meanwhile.
+func TestIncarnationThatComesUpLateIsUsed(t *testing.T) {
+	for name, before := range map[string]lwjob.WorkerIncarnation{
+		"after one with the same id": {Worker: nextIncarnation.Worker, StartedAt: 1},
+		"after one with another id":  {Worker: "w9", StartedAt: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withAgent(t, func(_ *testing.T, w *fakeWorker) { w.unresponsive, w.answersOnlyAs = true, before }, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+				w.mu.Lock()
+				w.answersOnlyAs = lwjob.WorkerIncarnation{}
+				w.mu.Unlock()
+				r.Announce(lwdispatch.WorkerInfo{Incarnation: nextIncarnation, Service: "s"}, 1)
+				w.mu.Lock()
+				w.unresponsive, w.answersOnlyAs = false, before
+				w.mu.Unlock()
+				time.Sleep(2 * time.Second)
+				if m := l.lastReport(); m.ProcessEnded || !m.Unresponsive {
+					t.Errorf("%v is reported, ended %t, unresponsive %t; want it unresponsive", m.Info.Incarnation, m.ProcessEnded, m.Unresponsive)
+				}
+				w.mu.Lock()
+				w.answersOnlyAs = lwjob.WorkerIncarnation{}
+				w.mu.Unlock()
+				w.reboot(nextIncarnation.StartedAt)
+				time.Sleep(2 * time.Second)
+				if m := l.lastReport(); m.Info.Incarnation != nextIncarnation || m.Unresponsive || m.ProcessEnded || !m.Answered {
+					t.Errorf("%v is reported, ended %t, unresponsive %t, answered %t; want %v in use", m.Info.Incarnation, m.ProcessEnded, m.Unresponsive, m.Answered, nextIncarnation)
+				}
+				c := Call{nextIncarnation, testToken}
+				r.start(t.Context(), c, startOrder("j.0.0.0", 1), lwdispatch.WorkerInfo{}.Capacity)
+				expectStarts(t, w, "j.0.0.0", 1)
+			})
+		})
+	}
+}
+
+// Guards against a worker that is kept out by an announcement which another one has contradicted at once.
+func TestContradictedFirstAnnouncementIsIgnored(t *testing.T) {
+	withAgent(t, func(_ *testing.T, w *fakeWorker) { w.answersOnlyAs = testIncarnation }, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
+		r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w9", StartedAt: 9}, Service: "s"}, 1)
+		time.Sleep(time.Second)
+		if n := l.reportCount(); n != 0 {
+			t.Errorf("%d reports name %v", n, l.lastReport().Info.Incarnation)
+		}
+	})
+}
+
 // Guards against a worker that is never used again: the first announcement that its agent hears after
 // a restart is not its own, and the worker has received a token, so that it fences the agent's probe.
 func TestFencedWorkerIsServedInPlaceOfOneThatNeverAnswered(t *testing.T) {
--- a/internal/worker/lwrunner/crash.go
+++ b/internal/worker/lwrunner/crash.go
@@ -98,18 +98,19 @@
 }
 
 // noteEnd notes that the process of the incarnation that a call was for has ended, by now
-// if it is not known when, and whether the worker at its address has another id.
+// if it is not known when, and whether the worker at its address has another id. Of one that has never
+// answered it is not known whether it has been there, or is yet to come up.
 func (r *Runner) noteEnd(c Call, otherID bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.info.Incarnation != c.Incarnation {
+	if r.info.Incarnation != c.Incarnation || !r.answered {
 		return
 	}
 	if !r.ended {
 		r.log.Warn("another worker answers", append(r.lastContact(), zap.Int64("born", int64(c.Incarnation.StartedAt)), zap.Bool("other_id", otherID))...)
 	}
 	r.ended = true
-	r.replacedByOtherID = r.replacedByOtherID || otherID && r.answered // one that never answered may not have been here
+	r.replacedByOtherID = r.replacedByOtherID || otherID
 	if r.brokenAt == 0 {
 		r.brokenAt = r.clock.Now()
 	}
--- a/internal/worker/lwrunner/poll.go
+++ b/internal/worker/lwrunner/poll.go
@@ -125,9 +125,7 @@
 func (r *Runner) pollFailed(c Call, err error) error {
 	pollsFailed.Add(1)
 	r.noteAnswer(c, err)
-	if !errors.Is(err, errOtherIncarnation) {
-		r.recordPollFailure(c, err)
-	}
+	r.recordPollFailure(c, err)
 	return err
 }
 
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -214,6 +214,8 @@
 		return true
 	case answerFenced:
 		return r.clockReceivedAt == 0 || r.ended
+	case answerOther:
+		return false
 	default:
 		return !r.announced
 	}
