Keep a worker whose agent's late report names an earlier incarnation with a later start

Cause: the leader orders the incarnations of an agent by their times of start. The clock of a machine may be set back between two of them; then a report of the earlier one that arrives late, and says truly that it had answered, takes the place of the one that runs. All its runs are released while they go on, and a crash is counted. An incarnation that was never used gives way without regard to its time of start, so that a delay of a second or two is enough.

Change: a worker whose lists have been received is not replaced by an incarnation that its agent had reported before the worker was added.

Not covered: a leader that has not heard of the earlier incarnation before, as the next leader.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -114,6 +114,7 @@
 // worker is one incarnation of a worker.
 type worker struct {
 	info               WorkerInfo
+	heardBefore        []lwjob.WorkerIncarnation
 	token              Token
 	enrolled           bool          // it is on the replicated roster
 	unresponsive       bool          // the worker does not answer its agent
@@ -183,6 +184,7 @@
 	sortedWorkers      []*worker // by worker id
 	incarnationByAgent map[string]lwjob.WorkerIncarnation
 	keptOut            map[string]lwjob.WorkerIncarnation        // last incarnation of each agent that was not added
+	heard              map[string][]lwjob.WorkerIncarnation      // last incarnations that each agent has reported
 	lastTokens         map[lwunit.WorkerID]lastToken             // of workers that were removed
 	missing            map[lwjob.WorkerIncarnation]missingWorker // roster entries whose lists have not been received
 	background         lwblame.Background
@@ -213,7 +215,7 @@
 func New(cfg Config, term uint64, now time.Duration, wallClock lwunit.Millis, in ReplicatedState) *Core {
 	c := &Core{
 		cfg: cfg, term: term, now: now, termStart: now, wallClock: wallClock, config: in.Config,
-		jobs: make(map[lwunit.JobID]*job), endedJobs: make(map[lwunit.JobID]*job), endedEarlier: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerIncarnation]*worker), incarnationByAgent: make(map[string]lwjob.WorkerIncarnation), keptOut: make(map[string]lwjob.WorkerIncarnation), lastTokens: make(map[lwunit.WorkerID]lastToken),
+		jobs: make(map[lwunit.JobID]*job), endedJobs: make(map[lwunit.JobID]*job), endedEarlier: make(map[lwunit.JobID]lwjob.Job), workers: make(map[lwjob.WorkerIncarnation]*worker), incarnationByAgent: make(map[string]lwjob.WorkerIncarnation), keptOut: make(map[string]lwjob.WorkerIncarnation), heard: make(map[string][]lwjob.WorkerIncarnation), lastTokens: make(map[lwunit.WorkerID]lastToken),
 		missing: make(map[lwjob.WorkerIncarnation]missingWorker), crashes: make(map[lwjob.WorkerIncarnation]*workerCrash), explained: make(map[lwjob.WorkerIncarnation]lwunit.TaskID), backgroundAt: now, runTimes: make(map[lwconfig.QueueKey]*runTimeStats), gains: make(pairGains), meanBaseTails: make(map[string]float64), fillingDemand: make(map[string]float64), meanJobWork: make(map[lwconfig.QueueKey]float64), fillingPools: make(map[lwunit.ServiceName]*fillingPool),
 	}
 	c.gains.restore(in.Interference, now)
--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -18,6 +18,7 @@
 		return w
 	}
 	next := Successor{incarnation, info.Agent, m.Answered}
+	c.noteHeard(next)
 	if earlier, ok := c.unendedBefore(next); ok {
 		c.keepOut(next, earlier)
 		return nil
@@ -34,7 +35,7 @@
 			c.removeWorker(other, "it has never answered, and another incarnation has its id", next)
 		}
 	}
-	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now}
+	w := &worker{info: info, token: max(tokenOf(c.term), c.lastTokens[incarnation.Worker].token) + 1, runs: make(map[runKey]*run), imageLoad: make(map[string]float64), allowedShares: make(map[string]float64), fillingUse: -1, dirty: true, imageLoadAt: c.now, reportedAt: c.now, heardBefore: slices.Clone(c.heard[info.Agent])}
 	awaitedEntry, onRoster := c.missing[incarnation]
 	w.longLease = hadID || awaitedEntry.longLease
 	c.countLongLease(w)
@@ -79,7 +80,7 @@
 		}
 	}
 	for earlier, w := range c.workers {
-		if mayRun(earlier, w.info.Agent) && !(next.Answered && w.neverUsed()) {
+		if (mayRun(earlier, w.info.Agent) || w.follows(next)) && !(next.Answered && w.neverUsed()) {
 			return earlier, true
 		}
 	}
@@ -91,6 +92,27 @@
 	return lwjob.WorkerIncarnation{}, false
 }
 
+const maxHeard = 16 // incarnations of each agent
+
+// noteHeard notes that a report has named an incarnation.
+func (c *Core) noteHeard(next Successor) {
+	list := c.heard[next.Agent]
+	if slices.Contains(list, next.Incarnation) {
+		return
+	}
+	if len(list) == maxHeard {
+		list = list[1:]
+	}
+	c.heard[next.Agent] = append(slices.Clip(list), next.Incarnation)
+}
+
+// follows reports whether a worker was added after its agent had reported another incarnation. Once the worker's
+// lists have been received since, that one is known to have ended before it. A report of that one is late. Their times of start do not tell, as the
+// clock of their machine may have been set back.
+func (w *worker) follows(other Successor) bool {
+	return w.info.Agent == other.Agent && w.info.Incarnation != other.Incarnation && slices.Contains(w.heardBefore, other.Incarnation)
+}
+
 // neverUsed reports whether a worker was given nothing to run: only one whose lists were received is.
 func (w *worker) neverUsed() bool {
 	return !w.listsCurrent && w.newestClock == 0 && len(w.runs) == 0
