Use a worker that has answered its agent though another agent reported it first

Cause: an agent that has been started again serves the first incarnation that it hears of, also one of another machine. If its report is the first of that incarnation, the leader takes it for the one that serves it and ignores the reports of the worker's own agent, until the other one says that the process has ended or the lease ends.

Change: a worker that was never used and isn't awaited is added anew at an agent that it has answered.

Result: TestIncarnationNamedByAnotherAgentFirstIsUsed failed before (nothing was started) and passes.

--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -137,6 +137,16 @@
 	return !awaited || m.agent == agent
 }
 
+// releaseClaim removes a worker that was never used if the report is of another agent, which the worker has
+// answered: the agent that reported it first does not serve it.
+func (c *Core) releaseClaim(m Report) {
+	incarnation := m.Info.Incarnation
+	w, awaited := c.workers[incarnation], c.missing[incarnation] != (missingWorker{})
+	if w != nil && !awaited && m.Answered && w.info.Agent != m.Info.Agent && w.neverUsed() {
+		c.removeWorker(incarnation, "it has answered another agent", Successor{incarnation, m.Info.Agent, m.Answered})
+	}
+}
+
 // awaitedBefore reports whether an incarnation has the id of an earlier one whose lists this
 // leader has not received, so that starts of an earlier term may be carried out by the new
 // one, and whether any earlier one with its id is known.
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -12,6 +12,7 @@
 // Report handles the report of an agent about its worker and renews the lease. It ignores a report of an
 // incarnation that another agent serves.
 func (c *Core) Report(m Report) Grant {
+	c.releaseClaim(m)
 	if !c.isServedBy(m.Info.Incarnation, m.Info.Agent) {
 		return Grant{}
 	}
--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -212,3 +212,13 @@
 		})
 	}
 }
+
+// Guards against a worker that is not used for the time of a lease, since an agent that does not serve it was
+// first to report it.
+func TestIncarnationNamedByAnotherAgentFirstIsUsed(t *testing.T) {
+	f := newFixture(t)
+	f.claim(claim{lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 1}, "agent-w3", false, false})
+	f.submit("j", tasks(1, 1, time.Minute))
+	f.join(workerInfo("w1", 4))
+	expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+}
