Do not let polls wait for announcements that are asked about

Cause: after a failed poll the poll loop asks about the last announcement without an answer. It waits for its turn behind all announcements that have arrived, each of which takes 300 ms while the worker is silent. Meanwhile no poll fails, so the worker isn't reported as unresponsive, its lease is granted anew, and its tasks wait.

Change: the poll loop asks only if nobody else does.

Result: TestAnnouncementsDelayNoReportOfSilence, with 60 announcements at the time of a loss of power: reported as unresponsive after 19.45 s before; with the change after at most 1.8 s in each of its three cases. go test ./internal/worker/lwrunner passes.

--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -208,3 +208,26 @@
 		}
 	})
 }
+
+// Guards against tasks that wait longer than a lease for a worker without power: announcements of others
+// keep its agent from finding out that it does not answer.
+func TestAnnouncementsDelayNoReportOfSilence(t *testing.T) {
+	for name, n := range map[string]int{"none": 0, "one": 1, "many": 60} {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+				w.setDark()
+				for i := range n {
+					go r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w9", StartedAt: lwunit.Millis(10 + i)}, Service: "s"}, 1)
+				}
+				began := time.Now()
+				for !l.lastReport().Unresponsive && time.Since(began) < time.Minute {
+					time.Sleep(50 * time.Millisecond)
+				}
+				if d := time.Since(began); d > 3*time.Second {
+					t.Errorf("the worker is reported as unresponsive after %s", d)
+				}
+				time.Sleep(time.Minute) // until all are asked about
+			})
+		})
+	}
+}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -188,6 +188,11 @@
 func (r *Runner) consider(info lwdispatch.WorkerInfo) {
 	r.asking <- struct{}{} // an answer tells only what was before it, so none may take effect after a later one
 	defer func() { <-r.asking }()
+	r.considerInTurn(info)
+}
+
+// considerInTurn does what consider does. The caller holds asking.
+func (r *Runner) considerInTurn(info lwdispatch.WorkerInfo) {
 	answer := r.ask(info.Incarnation)
 	r.mu.Lock()
 	switch {
@@ -245,12 +250,18 @@
 // askAgain asks the worker about the last announced incarnation that did not answer, while the one
 // that is served does not answer either.
 func (r *Runner) askAgain() {
+	select {
+	case r.asking <- struct{}{}:
+		defer func() { <-r.asking }()
+	default:
+		return // the worker is being asked, and polls must not wait for that
+	}
 	r.mu.Lock()
 	info := r.unanswered
 	r.unanswered = nil
 	r.mu.Unlock()
 	if info != nil {
-		r.consider(*info)
+		r.considerInTurn(*info)
 	}
 }
 
