Test that a late report ends no worker that the next leader awaits

Cause: a leader that has not heard of the earlier of two incarnations orders them by their times of start. If the clock of the machine was set back between them, a late report of the earlier one takes the place of the one on the roster, whose runs go on.

--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -222,3 +222,36 @@
 	f.join(workerInfo("w1", 4))
 	expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
 }
+
+// Guards against two runs of a task: a report of an earlier incarnation, which arrives late, takes the place of
+// the one that has followed at the next leader, since the clock of their machine was set back between the two.
+func TestLateReportOfEarlierIncarnationEndsNoAwaitedWorker(t *testing.T) {
+	for name, earlier := range map[string]lwjob.WorkerIncarnation{
+		"with the same id":  {Worker: "w1", StartedAt: 9},
+		"with another id":   {Worker: "w0", StartedAt: 9},
+		"by a higher clock": {Worker: "w0", StartedAt: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			info := workerInfo("w1", 4)
+			info.Incarnation = earlier
+			f.join(info)
+			f.advance(f.config.Lease + time.Second)
+			f.join(workerInfo("w1", 4))
+			if f.core.workers[f.infos["w1"].Incarnation] == nil {
+				f.advance(f.config.Lease * 20)
+				f.join(workerInfo("w1", 4))
+			}
+			f.submit("j", tasks(1, 1, time.Minute))
+			f.report("w1")
+			expectStarts(t, f.startAll("w1"), "j.0.0.0/1")
+			f.join(workerInfo("w2", 4))
+			f.startTerm(testTerm + 1)
+			f.join(f.infos["w2"])
+			f.claim(claim{earlier, "agent-w1", true, false})
+			expectNoSecondRun(t, f, f.infos["w1"].Incarnation)
+			f.advance(time.Second)
+			expectNoSecondRun(t, f, f.infos["w1"].Incarnation)
+		})
+	}
+}
