Take what an announcement says that waited while its incarnation came to be served

Cause: announcements of an incarnation that isn't served yet wait for their turn to be asked about. If an earlier one of the same incarnation has it served meanwhile, what the later one says is dropped, although it is acknowledged. A worker that has said that it drains is then given tasks until its next heartbeat.

Change: such an announcement describes the incarnation as any other does.

--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -231,3 +231,23 @@
 		})
 	}
 }
+
+// Guards against starts on a worker that drains: what it has announced is lost, since an earlier announcement of
+// the same incarnation was being asked about.
+func TestAnnouncementThatWaitsDescribesIncarnation(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		w.setUnresponsive(true)
+		go r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w9", StartedAt: 9}, Service: "s"}, 1)
+		time.Sleep(10 * time.Millisecond)
+		for seq, draining := range []bool{false, true} {
+			go r.Announce(lwdispatch.WorkerInfo{Incarnation: nextIncarnation, Service: "s", Draining: draining}, int64(seq+1))
+			time.Sleep(time.Millisecond)
+		}
+		restart(w)
+		w.setUnresponsive(false)
+		time.Sleep(time.Second)
+		if m := l.lastReport(); m.Info.Incarnation != nextIncarnation || !m.Info.Draining {
+			t.Errorf("%v is reported, draining %t, want that %v drains", m.Info.Incarnation, m.Info.Draining, nextIncarnation)
+		}
+	})
+}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -172,15 +172,24 @@
 	if !r.announced || info.Incarnation != r.info.Incarnation {
 		return false
 	}
-	if info.Seq <= r.info.Seq {
+	if !r.updateInfo(info) {
 		return true
 	}
+	return r.answered
+}
+
+// updateInfo replaces the description of the incarnation that is served, unless it is as new. The
+// caller holds mu.
+func (r *Runner) updateInfo(info lwdispatch.WorkerInfo) (updated bool) {
+	if info.Seq <= r.info.Seq {
+		return false
+	}
 	if info.Draining != r.info.Draining {
 		r.log.Info("worker drains", zap.String("worker", string(info.Incarnation.Worker)), zap.Bool("draining", info.Draining))
 	}
 	info.Draining = info.Draining || r.info.Draining
 	r.info = info
-	return r.answered
+	return true
 }
 
 // consider asks the worker about an incarnation that has not answered yet, and serves it
@@ -197,6 +206,7 @@
 	r.mu.Lock()
 	switch {
 	case r.announced && info.Incarnation == r.info.Incarnation:
+		r.updateInfo(info) // it may be served since this announcement began to wait
 		r.answered = r.answered || answer == answerOwn
 	case r.mayServe(answer):
 		r.serve(info, answer)
