--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -312,3 +312,46 @@
 		})
 	}
 }
+
+// Guards against tasks that wait longer than a lease for a worker without power: announcements of others
+// keep its agent from finding out that it does not answer.
+func TestAnnouncementsDelayNoReportOfSilence(t *testing.T) {
+	for name, n := range map[string]int{"none": 0, "one": 1, "many": 60} {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+				w.setDark()
+				for i := range n {
+					go r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w9", StartedAt: lwunit.Millis(10 + i)}, Service: "s"}, 1)
+				}
+				began := time.Now()
+				for !l.lastReport().Unresponsive && time.Since(began) < time.Minute {
+					time.Sleep(50 * time.Millisecond)
+				}
+				if d := time.Since(began); d > 3*time.Second {
+					t.Errorf("the worker is reported as unresponsive after %s", d)
+				}
+				time.Sleep(time.Minute) // until all are asked about
+			})
+		})
+	}
+}
+
+// Guards against starts on a worker that drains: what it has announced is lost, since an earlier announcement of
+// the same incarnation was being asked about.
+func TestAnnouncementThatWaitsDescribesIncarnation(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		w.setUnresponsive(true)
+		go r.Announce(lwdispatch.WorkerInfo{Incarnation: lwjob.WorkerIncarnation{Worker: "w9", StartedAt: 9}, Service: "s"}, 1)
+		time.Sleep(10 * time.Millisecond)
+		for seq, draining := range []bool{false, true} {
+			go r.Announce(lwdispatch.WorkerInfo{Incarnation: nextIncarnation, Service: "s", Draining: draining}, int64(seq+1))
+			time.Sleep(time.Millisecond)
+		}
+		restart(w)
+		w.setUnresponsive(false)
+		time.Sleep(time.Second)
+		if m := l.lastReport(); m.Info.Incarnation != nextIncarnation || !m.Info.Draining {
+			t.Errorf("%v is reported, draining %t, want that %v drains", m.Info.Incarnation, m.Info.Draining, nextIncarnation)
+		}
+	})
+}
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -173,15 +173,24 @@
 	if !r.announced || info.Incarnation != r.info.Incarnation {
 		return false
 	}
-	if info.Seq <= r.info.Seq {
+	if !r.updateInfo(info) {
 		return true
 	}
+	return r.answered
+}
+
+// updateInfo replaces the description of the incarnation that is served, unless it is as new. The
+// caller holds mu.
+func (r *Runner) updateInfo(info lwdispatch.WorkerInfo) (updated bool) {
+	if info.Seq <= r.info.Seq {
+		return false
+	}
 	if info.Draining != r.info.Draining {
 		r.log.Info("worker drains", zap.String("worker", string(info.Incarnation.Worker)), zap.Bool("draining", info.Draining))
 	}
 	info.Draining, info.Leaving = info.Draining || r.info.Draining, r.info.Leaving
 	r.info = info
-	return r.answered
+	return true
 }
 
 // consider asks the worker about an incarnation that has not answered yet, and serves it
@@ -189,10 +198,16 @@
 func (r *Runner) consider(info lwdispatch.WorkerInfo) {
 	r.asking <- struct{}{} // an answer tells only what was before it, so none may take effect after a later one
 	defer func() { <-r.asking }()
+	r.considerInTurn(info)
+}
+
+// considerInTurn does what consider does. The caller holds asking.
+func (r *Runner) considerInTurn(info lwdispatch.WorkerInfo) {
 	answer := r.ask(info.Incarnation)
 	r.mu.Lock()
 	switch {
 	case r.announced && info.Incarnation == r.info.Incarnation:
+		r.updateInfo(info) // it may be served since this announcement began to wait
 		r.answered = r.answered || answer == answerOwn
 	case r.mayServe(answer):
 		r.serve(info, answer)
@@ -248,12 +263,18 @@
 // askAgain asks the worker about the last announced incarnation that did not answer, while the one
 // that is served does not answer either.
 func (r *Runner) askAgain() {
+	select {
+	case r.asking <- struct{}{}:
+		defer func() { <-r.asking }()
+	default:
+		return // the worker is being asked, and polls must not wait for that
+	}
 	r.mu.Lock()
 	info := r.unanswered
 	r.unanswered = nil
 	r.mu.Unlock()
 	if info != nil {
-		r.consider(*info)
+		r.considerInTurn(*info)
 	}
 }
 
