Take the answer to a stop for the incarnation that has answered only

Cause: a stop that an earlier incarnation answers as the next one is served counted as answered by the next one. Once its lists lack the run, it would be reported as blocked there, though it may yet begin by a call that is carried out late. Found by reading. Change: such an answer is dropped. Result: TestLateAnswerToStopBlocksNoRunOfNextIncarnation failed before (the map holds the run) and passes.

--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -1,6 +1,7 @@
 package lwrunner
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -355,3 +356,30 @@
 		}
 	})
 }
+
+// replacedWorker has the next incarnation served as it answers a stop.
+type replacedWorker struct {
+	*fakeWorker
+	runner *Runner
+}
+
+func (w replacedWorker) Stop(context.Context, Call, lwdispatch.StopRun) error {
+	w.runner.mu.Lock()
+	defer w.runner.mu.Unlock()
+	w.runner.resetIncarnation()
+	w.runner.info.Incarnation = nextIncarnation
+	return nil
+}
+
+// Guards against a run that is reported as blocked on an incarnation since the one before has answered a stop late.
+func TestLateAnswerToStopBlocksNoRunOfNextIncarnation(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+		w.setCalls(replacedWorker{w, r})
+		r.stop(t.Context(), Call{testIncarnation, testToken}, lwdispatch.StopRun{Task: "j.0.0.0", Run: 1})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if len(r.stopAnsweredAt) > 0 {
+			t.Errorf("stops %v count as answered by the next incarnation", r.stopAnsweredAt)
+		}
+	})
+}
--- a/internal/worker/lwrunner/order.go
+++ b/internal/worker/lwrunner/order.go
@@ -287,8 +287,14 @@
 			continue
 		}
 		r.mu.Lock()
-		r.stopAnsweredAt[key] = r.clock.Now()
+		current := r.info.Incarnation == c.Incarnation
+		if current {
+			r.stopAnsweredAt[key] = r.clock.Now()
+		}
 		r.mu.Unlock()
+		if !current {
+			return // the stop has blocked the run on an earlier incarnation only
+		}
 		if _, err := r.poll(ctx, 0); err != nil {
 			r.decisions.Info("stop_unconfirmed", zap.String("task", string(o.Task)), zap.Error(err)) // the next poll settles it
 		}
