Count no crash of a worker that may run on

Cause: crashes that a report carries were counted before anything else of it was looked at. An agent of an older version reports one as soon as it has believed an announcement. Found by review. Change: a crash counts if the reported incarnation has answered its agent, or once the crashed one is neither known nor awaited. Agents repeat a crash until it is recorded. Result: TestCrashOfWorkerThatMayRunIsNotCounted fails without the change and passes.

--- a/internal/control/lwdispatch/crash.go
+++ b/internal/control/lwdispatch/crash.go
@@ -26,6 +26,12 @@
 	unrecorded int // ends by it that are not committed
 }
 
+// mayRun reports whether an incarnation is known or awaited, so that it may run on.
+func (c *Core) mayRun(incarnation lwjob.WorkerIncarnation) bool {
+	_, awaited := c.missing[incarnation]
+	return awaited || c.workers[incarnation] != nil
+}
+
 // minAdoptedAge is the least age of a run that an agent did not start itself: it began
 // before the agent was started again.
 const minAdoptedAge = lwunit.Duration(time.Second)
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -17,7 +17,9 @@
 		return Grant{}
 	}
 	for _, crash := range m.Crashes {
-		c.handleCrash(crash)
+		if m.Answered || !c.mayRun(crash.Incarnation) {
+			c.handleCrash(crash) // else the agent is of an older version, and repeats it
+		}
 	}
 	recorded := c.recordedCrashes(m.Crashes)
 	if m.ProcessEnded && m.Answered {
--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -283,3 +283,25 @@
 		})
 	}
 }
+
+// Guards against a crash that is counted against the tasks of a worker which runs on, since an agent of an older version has
+// believed an announcement.
+func TestCrashOfWorkerThatMayRunIsNotCounted(t *testing.T) {
+	f := newFixture(t)
+	f.join(workerInfo("w1", 4))
+	f.submit("j", tasks(1, 1, time.Minute))
+	run := f.startAll("w1")
+	expectStarts(t, run, "j.0.0.0/1")
+	next := f.infos["w1"]
+	next.Incarnation.StartedAt++
+	crashed := Report{Info: next, KnowsCrashes: true, Crashes: []Crash{{f.infos["w1"].Incarnation, []HeldRun{{Task: run[0].Task, Run: run[0].Run}}}}}
+	f.core.Report(crashed)
+	f.step()
+	expectNoSecondRun(t, f, f.infos["w1"].Incarnation)
+	f.advance(f.config.Lease + time.Second)
+	f.core.Report(crashed)
+	f.step()
+	if crashes := f.table.Job("j").Task(lwjob.TaskKey{}).Crashes; len(crashes) != 1 {
+		t.Errorf("crashes %v are counted once the lease has ended, want one", crashes)
+	}
+}
