Count the longest lease of a worker whose next incarnation is not added

With agents of an older version, whose calls may reach the next incarnation with the same id, that one may carry out a start that no list has shown, under the longest lease. Found by review. Change: while such an incarnation is kept out, the earlier one is counted with the longest lease, if it has unlisted starts or is awaited. Result: both subtests of TestStartMayBeginOnIncarnationThatIsNotAdded fail without the change and pass.

--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -64,10 +64,9 @@
 	return w
 }
 
-// unendedBefore returns an incarnation that is not known to have ended and has the agent or the id of a
-// next one. What the agent of both has been answered by the next one shows that the earlier one has ended. A
-// report of another agent does not, nor does one of an incarnation that has not answered. A worker that was
-// never used keeps none out that has answered.
+// unendedBefore returns an incarnation that has the agent or the id of a next one and is not known to have ended. It is
+// known to have if the next one has answered the agent of both. A report of another agent does not show it, nor does
+// one of an incarnation that has not answered. A worker that was never used keeps out none that has answered.
 func (c *Core) unendedBefore(next Successor) (lwjob.WorkerIncarnation, bool) {
 	mayRun := func(earlier lwjob.WorkerIncarnation, agent string) bool {
 		switch {
@@ -124,9 +123,25 @@
 		return
 	}
 	c.keptOut[next.Agent] = next.Incarnation
+	if earlier.Worker == next.Incarnation.Worker {
+		c.awaitLongestLease(earlier)
+	}
 	c.logDecision(Decision{Kind: DecidedWorkerKeptOut, Worker: next.Incarnation.Worker, Reason: fmt.Sprintf("%s, started at %d, is not known to have ended", earlier.Worker, earlier.StartedAt), Successor: next})
 }
 
+// awaitLongestLease allows for a start that a next incarnation with the same id, which is not added, has carried out for
+// an incarnation, under the longest lease. Agents that check their connections send it none.
+func (c *Core) awaitLongestLease(incarnation lwjob.WorkerIncarnation) {
+	end := c.now + c.longestLeaseTime(c.cfg.MaxWorkerLease)
+	if w := c.workers[incarnation]; w != nil && slices.ContainsFunc(w.sortedRuns(), func(r *run) bool { return !r.listed }) {
+		w.minLeaseEnd, w.leaseEnd = max(w.minLeaseEnd, end), max(w.leaseEnd, end)
+	}
+	if m, ok := c.missing[incarnation]; ok {
+		m.leaseEnd = max(m.leaseEnd, end)
+		c.missing[incarnation] = m
+	}
+}
+
 // isServedBy reports whether an incarnation is known or awaited at an agent, or unknown. What another agent
 // says of it is not evidence.
 func (c *Core) isServedBy(incarnation lwjob.WorkerIncarnation, agent string) bool {
--- a/internal/control/lwdispatch/successor_test.go
+++ b/internal/control/lwdispatch/successor_test.go
@@ -284,6 +284,37 @@
 	}
 }
 
+// Guards against two runs of a task with agents of an older version: a start that no list has shown is carried out by
+// the next incarnation with the id, which is not added, under the longest lease.
+func TestStartMayBeginOnIncarnationThatIsNotAdded(t *testing.T) {
+	for name, newLeader := range map[string]bool{"under its leader": false, "under the next leader": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.config.MaxWorkerLease = 10 * time.Second
+			f.startTerm(testTerm)
+			f.join(workerInfo("w1", 4))
+			f.submit("j", tasks(1, 1, time.Minute))
+			expectStarts(t, f.takeStarts("w1"), "j.0.0.0/1")
+			f.join(workerInfo("w2", 4))
+			if newLeader {
+				f.startTerm(testTerm + 1)
+				f.join(f.infos["w2"])
+			}
+			lostFor := time.Duration(0)
+			for ; len(f.takeStarts("w2")) == 0 && lostFor < 20*time.Second; lostFor += 100 * time.Millisecond {
+				if lostFor < time.Second {
+					f.claim(claim{lwjob.WorkerIncarnation{Worker: "w1", StartedAt: 2}, "agent-w1", false, false})
+				}
+				f.advance(100 * time.Millisecond)
+				f.report("w2")
+			}
+			if lostFor < 10*time.Second || lostFor > 12*time.Second {
+				t.Errorf("the task is started elsewhere after %s, want a little more than 10s", lostFor)
+			}
+		})
+	}
+}
+
 // Guards against a crash that is counted against the tasks of a worker which runs on, since an agent of an older version has
 // believed an announcement.
 func TestCrashOfWorkerThatMayRunIsNotCounted(t *testing.T) {
