Test that answers take effect in turn and that older messages change nothing

Cause: with the guards taken out no test failed for announcements that arrive out of order, for answers to probes that take effect in another order than they were given, and for late lists of an earlier incarnation. Found by review. Change: tests only.

--- a/internal/worker/lwrunner/announcement_test.go
+++ b/internal/worker/lwrunner/announcement_test.go
@@ -383,3 +383,60 @@
 		}
 	})
 }
+
+// Guards against an older announcement that replaces what a newer one has said of the worker.
+func TestOlderAnnouncementDescribesNothing(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, _ *fakeWorker, l *fakeLeader) {
+		announce := func(seq int64, millicores lwunit.Millicores) {
+			r.Announce(lwdispatch.WorkerInfo{Incarnation: testIncarnation, Service: "s", Capacity: lwunit.Resources{Millicores: millicores}}, seq)
+		}
+		announce(5, 2000)
+		announce(4, 1000)
+		time.Sleep(time.Second)
+		if got := l.lastReport().Info.Capacity.Millicores; got != 2000 {
+			t.Errorf("the worker is reported with %d millicores, want the 2000 of the newer announcement", got)
+		}
+	})
+}
+
+// successiveWorker answers a call for one incarnation late, and one for the next at once.
+type successiveWorker struct{ *fakeWorker }
+
+func (w successiveWorker) Poll(_ context.Context, c Call, _ LeaseEnd, _ int64, _ time.Duration) (RunLists, error) {
+	if c.Incarnation.StartedAt == nextIncarnation.StartedAt {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return RunLists{Clock: w.clock(), StartedAt: c.Incarnation.StartedAt}, nil
+}
+
+// Guards against an incarnation that is served again after the next one has answered, since its own
+// answer, which it gave before, takes effect later.
+func TestAnswersTakeEffectInTurn(t *testing.T) {
+	last := lwjob.WorkerIncarnation{Worker: testIncarnation.Worker, StartedAt: nextIncarnation.StartedAt + 1}
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, l *fakeLeader) {
+		w.setCalls(successiveWorker{w})
+		go r.Announce(lwdispatch.WorkerInfo{Incarnation: nextIncarnation, Service: "s"}, 1)
+		time.Sleep(50 * time.Millisecond)
+		r.Announce(lwdispatch.WorkerInfo{Incarnation: last, Service: "s"}, 1)
+		time.Sleep(time.Second)
+		if got := l.lastReport().Info.Incarnation; got != last {
+			t.Errorf("%v is reported, want %v, which has answered last", got, last)
+		}
+	})
+}
+
+// Guards against lists of an earlier incarnation, which arrive late, that are taken for those of the next one.
+func TestListsOfEarlierIncarnationAreDropped(t *testing.T) {
+	withRunner(t, func(t *testing.T, r *Runner, w *fakeWorker, _ *fakeLeader) {
+		w.reboot(nextIncarnation.StartedAt)
+		r.Announce(lwdispatch.WorkerInfo{Incarnation: nextIncarnation, Service: "s"}, 1)
+		time.Sleep(time.Second)
+		lists := RunLists{Clock: w.clock() + 1000, Running: []lwdispatch.RunStatus{{Task: "j.0.0.0", Run: 1}}}
+		r.applyLists(Call{testIncarnation, testToken}, lists, r.clock.Now())
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if len(r.lists.Running) > 0 {
+			t.Errorf("runs %v of the earlier incarnation are listed", r.lists.Running)
+		}
+	})
+}
