Say plainly what keeps an incarnation out

Cause: read as a newcomer, mayRun in unendedBefore stood for something else than in crash.go, and two comments did not say what they meant. Change: names and comments.

--- a/internal/control/lwdispatch/incarnation.go
+++ b/internal/control/lwdispatch/incarnation.go
@@ -68,7 +68,7 @@
 // known to have if the next one has answered the agent of both. A report of another agent does not show it, nor does
 // one of an incarnation that has not answered. A worker that was never used keeps out none that has answered.
 func (c *Core) unendedBefore(next Successor) (lwjob.WorkerIncarnation, bool) {
-	mayRun := func(earlier lwjob.WorkerIncarnation, agent string) bool {
+	keepsOut := func(earlier lwjob.WorkerIncarnation, agent string) bool {
 		switch {
 		case earlier == next.Incarnation:
 			return false
@@ -79,12 +79,12 @@
 		}
 	}
 	for earlier, w := range c.workers {
-		if (mayRun(earlier, w.info.Agent) || w.follows(next)) && !(next.Answered && w.neverUsed()) {
+		if (keepsOut(earlier, w.info.Agent) || w.follows(next)) && !(next.Answered && w.neverUsed()) {
 			return earlier, true
 		}
 	}
 	for earlier, m := range c.missing {
-		if mayRun(earlier, m.agent) {
+		if keepsOut(earlier, m.agent) {
 			return earlier, true
 		}
 	}
@@ -117,7 +117,7 @@
 	return !w.listsCurrent && w.newestClock == 0 && len(w.runs) == 0
 }
 
-// keepOut logs that an incarnation is not added, once for each agent and incarnation in turn.
+// keepOut notes that an incarnation is not added, unless it is the last one that was not added at its agent.
 func (c *Core) keepOut(next Successor, earlier lwjob.WorkerIncarnation) {
 	if c.keptOut[next.Agent] == next.Incarnation {
 		return
--- a/internal/worker/lwrunner/runner.go
+++ b/internal/worker/lwrunner/runner.go
@@ -284,7 +284,7 @@
 const (
 	answerOwn    answer = "own"    // the incarnation itself
 	answerOther  answer = "other"  // another incarnation
-	answerFenced answer = "fenced" // a worker with its id, which does not say which incarnation it is
+	answerFenced answer = "fenced" // a worker with its id, which has received a higher token and does not say which incarnation it is
 	answerNone   answer = "none"   // nobody
 )
 
