Show that a job pinned to a flaky worker is failed

A job whose only eligible worker crashes repeatedly is blamed for the crashes, given up and shown as failed, though no run of it has ended failed.

--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+var cases = map[string]reviewCase{
+	"crashes":   {8, playCrashes},
+	"heartbeat": {4, playHeartbeat},
+	"seed":      {4, playSeed},
+	"cancel":    {4, playCancel},
+}
+
+const (
+	startLimit  = 15 * time.Second
+	settleTime  = 3 * time.Second
+	firstID     = "5c0e7a21d94b36f8"
+	checkPeriod = 250 * time.Millisecond
+)
+
+// ready starts the system, configures it and runs one job, so that the case begins in a steady
+// state.
+func ready(s *system, c *client) error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	if !c.configure(startLimit) {
+		return fmt.Errorf("no configuration is acknowledged: %w", errNotReady)
+	}
+	time.Sleep(settleTime)
+	const id = "00000000000000aa"
+	if !c.submit(id, job(200, map[string]any{"count": 4, "cpu": 960, "mem_mb": 1900, "estimate_ms": 200}), startLimit) {
+		return fmt.Errorf("the first job is not accepted: %w", errNotReady)
+	}
+	for began := time.Now(); time.Since(began) < startLimit; time.Sleep(checkPeriod) {
+		if c.state(id) == "completed" {
+			time.Sleep(settleTime)
+			return nil
+		}
+	}
+	return fmt.Errorf("the first job is not completed: %w", errNotReady)
+}
+
+// playCrashes crashes the only worker that a job may run on several times. The crashes have
+// nothing to do with the job.
+func playCrashes(s *system, c *client, trouble bool) result {
+	const crashes, up, down = 5, 1200 * time.Millisecond, 1400 * time.Millisecond
+	flaky := s.workers[0]
+	flaky.labels = append(flaky.labels, "b")
+	if err := ready(s, c); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	step := map[string]any{"count": 1, "cpu": 7000, "mem_mb": 13000, "estimate_ms": 4000, "required_label": "b"}
+	if !c.submit(firstID, job(4000, step), startLimit) {
+		return result{couldNot, "the job is not accepted"}
+	}
+	for range crashes {
+		time.Sleep(up)
+		if !trouble {
+			time.Sleep(down)
+			continue
+		}
+		flaky.crash()
+		time.Sleep(down)
+		if err := flaky.boot(); err != nil {
+			return result{couldNot, err.Error()}
+		}
+	}
+	for began := time.Now(); time.Since(began) < 2*startLimit; time.Sleep(checkPeriod) {
+		switch state := c.state(firstID); state {
+		case "completed":
+			return result{held, "the job is completed"}
+		case "failed", "cancelled", "gone":
+			for _, line := range s.decisionLines("task_given_up") {
+				s.rec.note("%s", line)
+			}
+			return result{broken, "LOST: the job is shown as " + state + ", though no run of it has ended failed"}
+		}
+	}
+	return result{broken, "LOST: the job has not run, though its worker is up"}
+}
+
+// playHeartbeat sends each agent one heartbeat of another writer, which names a service that no
+// configuration names.
+func playHeartbeat(s *system, c *client, trouble bool) result {
+	if err := ready(s, c); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	if trouble {
+		for _, w := range s.workers {
+			inc := w.current()
+			body := maps.Clone(inc.heartbeat())
+			body["service"], body["seq"] = "huvo11a", 1000000
+			s.rec.note("another writer sends a heartbeat for %s with service huvo11a: %d", inc.id, inc.send(body))
+		}
+	}
+	time.Sleep(settleTime)
+	if !c.submit(firstID, job(600, map[string]any{"count": 4, "cpu": 960, "mem_mb": 1900, "estimate_ms": 600}), startLimit) {
+		return result{couldNot, "the job is not accepted"}
+	}
+	for began := time.Now(); time.Since(began) < 2*startLimit; time.Sleep(checkPeriod) {
+		if c.state(firstID) == "completed" {
+			return result{held, "the job is completed"}
+		}
+	}
+	return result{broken, fmt.Sprintf("LOST: an accepted job has not run for 30 s on %d idle workers; %d runs began", len(s.workers), len(s.rec.runsOf(firstID)))}
+}
+
+// playSeed removes one control machine for good while the system starts for the first time, and adds
+// an empty one at another address.
+func playSeed(s *system, c *client, trouble bool) result {
+	const removedAfter, addedAfter, limit = 300 * time.Millisecond, time.Second, 30 * time.Second
+	if err := s.startControls(); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	if err := s.startRest(); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	if trouble {
+		time.Sleep(removedAfter)
+		for _, p := range []*process{s.controls[0], s.entries[0]} {
+			p.signal(syscall.SIGKILL)
+			<-p.exited
+		}
+		time.Sleep(addedAfter)
+		if err := s.addControl(); err != nil {
+			return result{couldNot, err.Error()}
+		}
+	}
+	if !c.configure(limit) {
+		return result{broken, "Acks: no configuration is acknowledged for 30 s, though two of the three first control machines and a new one are up"}
+	}
+	if !c.submit(firstID, job(200, map[string]any{"count": 1, "cpu": 960, "mem_mb": 1900, "estimate_ms": 200}), startLimit) {
+		return result{broken, "Fault: no job is accepted"}
+	}
+	return result{held, "a configuration is acknowledged and a job accepted"}
+}
+
+// playCancel has a consumer cancel a job whose submission has not been answered, at another
+// entry, while the first entry is frozen.
+func playCancel(s *system, c *client, trouble bool) result {
+	const freeze = 4 * time.Second
+	if err := ready(s, c); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	body := job(2000, map[string]any{"count": 4, "cpu": 960, "mem_mb": 1900, "estimate_ms": 2000})
+	if trouble {
+		s.entries[0].signal(syscall.SIGSTOP)
+	}
+	time.Sleep(checkPeriod) // until each thread of the process has stopped
+	frozen := time.Now()
+	c.send(http.MethodPost, s.entryAddress(0), prefix+firstID, body, 300*time.Millisecond)
+	status, _ := c.send(http.MethodDelete, s.entryAddress(1), prefix+firstID, nil, budget)
+	if status != http.StatusOK && status != http.StatusGone {
+		return result{couldNot, "the job is not cancelled"}
+	}
+	cancelled := time.Now()
+	time.Sleep(freeze - time.Since(frozen))
+	if trouble {
+		s.entries[0].signal(syscall.SIGCONT)
+	}
+	time.Sleep(8 * time.Second)
+	c.state(firstID)
+	for _, x := range s.rec.runsOf(firstID) {
+		if late := x.at.Sub(cancelled); late > 3*time.Second {
+			return result{broken, fmt.Sprintf("UNASKED: %s starts %d ms after its job's cancelling was acknowledged", x.task, late.Milliseconds())}
+		}
+	}
+	return result{held, "nothing starts after the cancelling"}
+}
