Show that lasting tasks wait long after a worker is sound

A worker that failed what it started for 6.5 s gets one lasting task a second from then on, since only an end done takes it back, and lasting tasks have none.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -13,12 +13,15 @@
 	"heartbeat": {4, playHeartbeat},
 	"seed":      {4, playSeed},
 	"cancel":    {4, playCancel},
+	"grey":      {12, playGrey},
+	"load":      {4, playLoad},
 }
 
 const (
 	startLimit  = 15 * time.Second
 	settleTime  = 3 * time.Second
 	firstID     = "5c0e7a21d94b36f8"
+	secondID    = "71d9c0a2be441f06"
 	checkPeriod = 250 * time.Millisecond
 )
 
@@ -172,3 +175,84 @@
 	}
 	return result{held, "nothing starts after the cancelling"}
 }
+
+// playGrey has the only worker that some lasting tasks may run on fail all that it starts for a while.
+func playGrey(s *system, c *client, trouble bool) result {
+	const (
+		jobs, tasks = 4, 6
+		greyFor     = 6500 * time.Millisecond
+		calmAfter   = greyFor + 4*time.Second
+		idleAfter   = 6 * time.Second // since a task's last run
+		idleFor     = 3 * time.Second
+		watchFor    = 40 * time.Second
+	)
+	grey := s.workers[0]
+	grey.labels = append(grey.labels, "b")
+	if err := ready(s, c); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	if trouble {
+		grey.setFails(true)
+	}
+	began := time.Now()
+	var names []string
+	for i := range jobs {
+		id := fmt.Sprintf("5c0e7a21d94b36f%d", i)
+		step := map[string]any{"count": tasks, "cpu": 1000, "mem_mb": 2000, "required_label": "b", "long_running": true, "image": "im-1"}
+		if !c.submit(id, job(0, step), startLimit) {
+			return result{couldNot, "a job is not accepted"}
+		}
+		for k := range tasks {
+			names = append(names, fmt.Sprintf("%s.0.0.%d", id, k))
+		}
+	}
+	time.Sleep(time.Until(began.Add(greyFor)))
+	if trouble {
+		grey.setFails(false)
+	}
+	time.Sleep(watchFor)
+	late, longest := 0, time.Duration(0)
+	for _, name := range names {
+		gap := s.rec.idleGap(name, began, began.Add(calmAfter), idleAfter)
+		longest = max(longest, gap)
+		if gap >= idleFor {
+			late++
+		}
+	}
+	if late > 0 {
+		return result{broken, fmt.Sprintf("LOST: %d of %d lasting tasks have nothing running for 3 s and more, up to %d ms, from 6 s after their last run and 4 s after the disruption", late, len(names), longest.Milliseconds())}
+	}
+	return result{held, "each lasting task runs again in time"}
+}
+
+// playLoad has the load of the lasting tasks on all workers raise their own tail latency over its
+// target. Nothing fills beside them, so no other work is to blame.
+func playLoad(s *system, c *client, trouble bool) result {
+	if err := ready(s, c); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	lasting := job(0, map[string]any{
+		"count": len(s.workers), "cpu": 13000, "mem_mb": 26000, "long_running": true, "anti_affinity": 1, "image": "im-1", "target_ms": 150,
+	})
+	lasting["spec"] = `{"work_ms":0,"tail_ms":30}`
+	if !c.submit(secondID, lasting, startLimit) {
+		return result{couldNot, "the lasting job is not accepted"}
+	}
+	time.Sleep(settleTime)
+	if trouble {
+		for _, w := range s.workers {
+			w.setLoad(6)
+		}
+	}
+	time.Sleep(settleTime)
+	filling := map[string]any{"count": 4, "cpu": 7000, "mem_mb": 13000, "estimate_ms": 1000, "fills": true, "image": "im-2"}
+	if !c.submit(firstID, job(1000, filling), startLimit) {
+		return result{couldNot, "the job is not accepted"}
+	}
+	for began := time.Now(); time.Since(began) < 2*startLimit; time.Sleep(checkPeriod) {
+		if c.state(firstID) == "completed" {
+			return result{held, "the job is completed"}
+		}
+	}
+	return result{broken, fmt.Sprintf("LOST: an accepted job has had nothing running for 30 s, with %d workers a fifth full; %d runs began", len(s.workers), len(s.rec.runsOf(firstID)))}
+}
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -85,7 +85,7 @@
 
 // job returns a job of one step.
 func job(workMS int, step map[string]any) map[string]any {
-	spec, err := json.Marshal(taskSpec{workMS})
+	spec, err := json.Marshal(taskSpec{WorkMS: workMS})
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -96,6 +96,33 @@
 	return list
 }
 
+// idleGap returns the longest time for which nothing of a task ran that begins after a time and
+// at least some time after the end of its last run; began is when its job was accepted.
+func (r *record) idleGap(task string, began, after time.Time, sinceLast time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, longest := began, time.Duration(0)
+	note := func(until time.Time) {
+		from := last.Add(sinceLast)
+		if from.Before(after) {
+			from = after
+		}
+		longest = max(longest, until.Sub(from))
+	}
+	for _, s := range r.starts {
+		if s.task != task {
+			continue
+		}
+		note(s.at)
+		if s.ended.IsZero() {
+			return longest
+		}
+		last = s.ended
+	}
+	note(time.Now())
+	return longest
+}
+
 // process is one process of the system.
 type process struct {
 	rec    *record
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -22,6 +22,7 @@
 	heartbeatTimeout  = time.Second
 	maxLease          = 10 * time.Second // hold_max_ms
 	maxPollWait       = 2 * time.Second
+	failAfter         = 50 * time.Millisecond
 	workerTick        = 10 * time.Millisecond
 	workerCPU         = 64000
 	workerMemoryMB    = 256000
@@ -31,7 +32,8 @@
 
 // taskSpec is the spec of a job, which only the worker reads.
 type taskSpec struct {
-	WorkMS int `json:"work_ms"` // 0 runs until it is stopped
+	WorkMS int `json:"work_ms"`           // 0 runs until it is stopped
+	TailMS int `json:"tail_ms,omitempty"` // tail latency of a serving task with its usual load
 }
 
 // worker is one machine with a backend server that runs tasks.
@@ -47,6 +49,8 @@
 	mu          sync.Mutex
 	incarnation *incarnation // nil while the worker is down
 	boots       int
+	fails       bool // each run that is started fails soon
+	loadFactor  int  // of the tail latencies of serving tasks, by their own load
 }
 
 // incarnation is one boot of a worker.
@@ -75,6 +79,8 @@
 	run     int
 	started time.Time
 	work    time.Duration
+	fails   bool
+	tailMS  int
 }
 
 type runEnd struct {
@@ -128,6 +134,22 @@
 	inc.runs = make(map[string]*taskRun)
 }
 
+// setFails has the worker fail all that it starts from now on, or ends that.
+func (w *worker) setFails(fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fails = fails
+	w.rec.note("worker %s fails all that it starts: %t", w.machine, fails)
+}
+
+// setLoad changes the load of the serving tasks on the worker.
+func (w *worker) setLoad(factor int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loadFactor = factor
+	w.rec.note("the load of serving tasks on worker %s raises their tail latency by a factor of %d", w.machine, factor)
+}
+
 func (w *worker) current() *incarnation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -193,6 +215,8 @@
 			switch r := i.runs[k]; {
 			case lapsed:
 				i.end(r, "lapsed")
+			case r.fails && time.Since(r.started) >= failAfter:
+				i.end(r, "failed")
 			case r.work > 0 && time.Since(r.started) >= r.work:
 				i.end(r, "done")
 			}
@@ -267,6 +291,9 @@
 		i.answer(w, http.StatusBadRequest, nil)
 		return
 	}
+	i.worker.mu.Lock()
+	fails := i.worker.fails
+	i.worker.mu.Unlock()
 	i.mu.Lock()
 	key := fmt.Sprintf(runKey, c.Task, c.Run)
 	reason := ""
@@ -280,7 +307,7 @@
 	case i.clock() >= i.until:
 		reason = "late"
 	default:
-		r := &taskRun{c.Task, c.Run, time.Now(), time.Duration(spec.WorkMS) * time.Millisecond}
+		r := &taskRun{c.Task, c.Run, time.Now(), time.Duration(spec.WorkMS) * time.Millisecond, fails, spec.TailMS}
 		i.runs[key] = r
 		i.worker.rec.start(i.id, r)
 	}
@@ -317,6 +344,9 @@
 			return
 		}
 	}
+	i.worker.mu.Lock()
+	load := max(1, i.worker.loadFactor)
+	i.worker.mu.Unlock()
 	i.mu.Lock()
 	running, finished := [][]any{}, [][]any{}
 	for _, k := range slices.Sorted(maps.Keys(i.runs)) {
@@ -325,7 +355,7 @@
 		if x.work > 0 {
 			percent = int(fullPercent * time.Since(x.started) / x.work)
 		}
-		running = append(running, []any{x.task, x.run, "", percent, 0})
+		running = append(running, []any{x.task, x.run, "", percent, x.tailMS * load})
 	}
 	for _, e := range i.ends {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
