--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -15,6 +17,8 @@
 	"cancel":    {4, playCancel},
 	"grey":      {12, playGrey},
 	"load":      {4, playLoad},
+	"large":     {4, playLarge},
+	"mixed":     {8, playMixed},
 }
 
 const (
@@ -256,3 +260,112 @@
 	}
 	return result{broken, fmt.Sprintf("LOST: an accepted job has had nothing running for 30 s, with %d workers a fifth full; %d runs began", len(s.workers), len(s.rec.runsOf(firstID)))}
 }
+
+// playLarge hands in a job with many small tasks and the longest spec.
+func playLarge(s *system, c *client, trouble bool) result {
+	const count, specBytes = 2400, 4000
+	for _, w := range s.workers[:1] {
+		w.labels = append(w.labels, "b")
+	}
+	if err := ready(s, c); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	n := count
+	if !trouble {
+		n = count / 2
+	}
+	body := job(0, map[string]any{"count": n, "cpu": 20, "mem_mb": 10, "estimate_ms": 1000, "required_label": "b"})
+	spec := `{"work_ms":1000,"x":"`
+	body["spec"] = spec + strings.Repeat("x", specBytes-len(spec)-2) + `"}`
+	if !c.submit(firstID, body, startLimit) {
+		return result{couldNot, "the job is not accepted"}
+	}
+	for began := time.Now(); time.Since(began) < 3*startLimit; time.Sleep(checkPeriod) {
+		if c.state(firstID) == "completed" {
+			return result{held, "the job is completed"}
+		}
+	}
+	return result{broken, fmt.Sprintf("LOST: an accepted job is not completed; %d runs of %d tasks began", len(s.rec.runsOf(firstID)), n)}
+}
+
+// playMixed hands in gangs, timed jobs and steps that depend on each other while processes end.
+func playMixed(s *system, c *client, trouble bool) result {
+	const jobs = 24
+	if err := ready(s, c); err != nil {
+		return result{couldNot, err.Error()}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 14 {
+			time.Sleep(1700*time.Millisecond + time.Duration(os.Getpid()%7)*60*time.Millisecond)
+			if !trouble {
+				continue
+			}
+			switch i % 4 {
+			case 0:
+				p := s.controls[i/4%len(s.controls)]
+				p.signal(syscall.SIGKILL)
+				<-p.exited
+				time.Sleep(time.Second)
+				_ = p.start()
+			case 1:
+				w := s.workers[i%len(s.workers)]
+				w.crash()
+				time.Sleep(time.Second)
+				_ = w.boot()
+			case 2:
+				p := s.agents[i%len(s.agents)]
+				p.signal(syscall.SIGKILL)
+				<-p.exited
+				time.Sleep(500 * time.Millisecond)
+				_ = p.start()
+			case 3:
+				p := s.controls[i/4%len(s.controls)]
+				p.signal(syscall.SIGSTOP)
+				time.Sleep(2 * time.Second)
+				p.signal(syscall.SIGCONT)
+			}
+		}
+	}()
+	var ids []string
+	for i := range jobs {
+		id := fmt.Sprintf("5c0e7a21d94b3%03d", i)
+		size := 2 + i%3
+		body := job(700, map[string]any{"count": size, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 700, "gang": true, "rack_sensitive": i%2 == 0})
+		body["spec"] = fmt.Sprintf(`{"work_ms":700,"gang":%d}`, size)
+		if i%3 == 1 {
+			body["repeats"], body["first_ms"], body["interval_ms"] = 4, time.Now().UnixMilli()+1500, 1700
+		}
+		if i%3 == 2 {
+			body = job(500, map[string]any{"count": 4, "cpu": 2000, "mem_mb": 1000, "estimate_ms": 500, "speculative": i%2 == 0, "anti_affinity": 1})
+			body["repeats"], body["first_ms"], body["interval_ms"] = 3, time.Now().UnixMilli()+500, 900
+			body["steps"] = append(body["steps"].([]any), map[string]any{"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 500, "depends_on": []int{0}})
+		}
+		if !c.submit(id, body, startLimit) {
+			return result{couldNot, "a job is not accepted"}
+		}
+		ids = append(ids, id)
+		time.Sleep(time.Second)
+	}
+	<-done
+	time.Sleep(14 * time.Second)
+	var wrong []string
+	for _, id := range ids {
+		if state := c.state(id); state != "completed" {
+			wrong = append(wrong, id+" is "+state)
+		}
+		runs := s.rec.runsOf(id)
+		for i, a := range runs {
+			for _, b := range runs[:i] {
+				if a.task == b.task && (b.ended.IsZero() || a.at.Before(b.ended) || b.how == "done") {
+					wrong = append(wrong, fmt.Sprintf("%s run %d on %s and run %d on %s (%s)", a.task, a.run, a.worker, b.run, b.worker, b.how))
+				}
+			}
+		}
+	}
+	if len(wrong) > 0 {
+		return result{broken, fmt.Sprint(wrong)}
+	}
+	return result{held, "all jobs are completed"}
+}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -22,6 +22,7 @@
 	heartbeatTimeout  = time.Second
 	maxLease          = 10 * time.Second // hold_max_ms
 	maxPollWait       = 2 * time.Second
+	gangWait          = 3 * time.Second // gang_ms
 	failAfter         = 50 * time.Millisecond
 	workerTick        = 10 * time.Millisecond
 	workerCPU         = 64000
@@ -33,6 +34,7 @@
 // taskSpec is the spec of a job, which only the worker reads.
 type taskSpec struct {
 	WorkMS int `json:"work_ms"`           // 0 runs until it is stopped
+	Gang   int `json:"gang,omitempty"`    // members of the gang
 	TailMS int `json:"tail_ms,omitempty"` // tail latency of a serving task with its usual load
 }
 
@@ -81,6 +83,60 @@
 	work    time.Duration
 	fails   bool
 	tailMS  int
+	gang    *gang // nil if it works alone
+}
+
+// gang is one run of a gang, whose members work from when all are there.
+type gang struct {
+	size    int
+	members int
+	since   time.Time // when all members were there; zero before
+	broken  bool      // a member has ended otherwise than done
+}
+
+// gangs holds the runs of gangs on all workers, by step and run.
+var gangs = struct {
+	mu   sync.Mutex
+	list map[string]*gang
+}{list: make(map[string]*gang)}
+
+// joinGang adds a member to the run of a gang.
+func joinGang(task string, run, size int) *gang {
+	gangs.mu.Lock()
+	defer gangs.mu.Unlock()
+	key := fmt.Sprintf(runKey, task[:strings.LastIndexByte(task, '.')], run)
+	g := gangs.list[key]
+	if g == nil {
+		g = &gang{size: size}
+		gangs.list[key] = g
+	}
+	if g.members++; g.members == size && !g.broken {
+		g.since = time.Now()
+	}
+	return g
+}
+
+// breakGang notes that a member has ended otherwise than done.
+func (g *gang) breakGang() {
+	gangs.mu.Lock()
+	defer gangs.mu.Unlock()
+	g.broken = true
+}
+
+// outcome returns how a member that began at a time ends now, or "".
+func (g *gang) outcome(began time.Time, work time.Duration) string {
+	gangs.mu.Lock()
+	defer gangs.mu.Unlock()
+	switch {
+	case g.broken:
+		return "broken"
+	case !g.since.IsZero() && time.Since(g.since) >= work:
+		return "done"
+	case g.since.IsZero() && time.Since(began) >= gangWait:
+		return "alone"
+	default:
+		return ""
+	}
 }
 
 type runEnd struct {
@@ -131,6 +187,12 @@
 		held = append(held, fmt.Sprintf("%s for %d ms", k, time.Since(inc.runs[k].started).Milliseconds()))
 	}
 	w.rec.note("worker %s crashes as %s; it ran %v", w.machine, inc.id, held)
+	for _, r := range inc.runs {
+		if r.gang != nil {
+			r.gang.breakGang()
+		}
+		w.rec.end(inc.id, r, "crashed")
+	}
 	inc.runs = make(map[string]*taskRun)
 }
 
@@ -212,9 +274,18 @@
 		i.mu.Lock()
 		lapsed := i.clock() >= i.until
 		for _, k := range slices.Sorted(maps.Keys(i.runs)) {
-			switch r := i.runs[k]; {
-			case lapsed:
+			r := i.runs[k]
+			if lapsed {
 				i.end(r, "lapsed")
+				continue
+			}
+			if r.gang != nil {
+				if how := r.gang.outcome(r.started, r.work); how != "" {
+					i.end(r, how)
+				}
+				continue
+			}
+			switch {
 			case r.fails && time.Since(r.started) >= failAfter:
 				i.end(r, "failed")
 			case r.work > 0 && time.Since(r.started) >= r.work:
@@ -231,6 +302,9 @@
 		return
 	}
 	delete(i.runs, fmt.Sprintf(runKey, r.task, r.run))
+	if r.gang != nil && how != "done" {
+		r.gang.breakGang()
+	}
 	i.highest[r.task] = max(i.highest[r.task], r.run)
 	i.lastEnd++
 	i.ends = append(i.ends, runEnd{i.lastEnd, r.task, r.run, how})
@@ -307,7 +381,10 @@
 	case i.clock() >= i.until:
 		reason = "late"
 	default:
-		r := &taskRun{c.Task, c.Run, time.Now(), time.Duration(spec.WorkMS) * time.Millisecond, fails, spec.TailMS}
+		r := &taskRun{c.Task, c.Run, time.Now(), time.Duration(spec.WorkMS) * time.Millisecond, fails, spec.TailMS, nil}
+		if spec.Gang > 0 {
+			r.gang = joinGang(c.Task, c.Run, spec.Gang)
+		}
 		i.runs[key] = r
 		i.worker.rec.start(i.id, r)
 	}
@@ -333,9 +410,9 @@
 func (i *incarnation) poll(w http.ResponseWriter, r *http.Request, c call) {
 	i.mu.Lock()
 	i.ends = slices.DeleteFunc(i.ends, func(e runEnd) bool { return e.number <= c.Cursor })
-	changed := i.changed
+	changed, listed := i.changed, len(i.ends) > 0
 	i.mu.Unlock()
-	if c.WaitMS > 0 {
+	if c.WaitMS > 0 && !listed {
 		select {
 		case <-changed:
 		case <-time.After(min(time.Duration(c.WaitMS)*time.Millisecond, maxPollWait)):
