Show that a large job is never started

The starts of one round for one agent are one message; beyond the frame limit of 8 MiB it is never sent, and the accepted job never runs.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -261,12 +261,11 @@
 	return result{broken, fmt.Sprintf("LOST: an accepted job has had nothing running for 30 s, with %d workers a fifth full; %d runs began", len(s.workers), len(s.rec.runsOf(firstID)))}
 }
 
-// playLarge hands in a job with many small tasks and the longest spec.
+// playLarge hands in a job with many small tasks and the longest spec; without the disruption it has
+// half as many.
 func playLarge(s *system, c *client, trouble bool) result {
-	const count, specBytes = 2400, 4000
-	for _, w := range s.workers[:1] {
-		w.labels = append(w.labels, "b")
-	}
+	const count, specBytes, head, tail = 2400, 4000, `{"work_ms":1000,"text":"`, `"}`
+	s.workers[0].labels = append(s.workers[0].labels, "b")
 	if err := ready(s, c); err != nil {
 		return result{couldNot, err.Error()}
 	}
@@ -274,9 +273,8 @@
 	if !trouble {
 		n = count / 2
 	}
-	body := job(0, map[string]any{"count": n, "cpu": 20, "mem_mb": 10, "estimate_ms": 1000, "required_label": "b"})
-	spec := `{"work_ms":1000,"x":"`
-	body["spec"] = spec + strings.Repeat("x", specBytes-len(spec)-2) + `"}`
+	body := job(0, map[string]any{"count": n, "cpu": 10, "mem_mb": 10, "estimate_ms": 1000, "required_label": "b"})
+	body["spec"] = head + strings.Repeat("x", specBytes-len(head)-len(tail)) + tail
 	if !c.submit(firstID, body, startLimit) {
 		return result{couldNot, "the job is not accepted"}
 	}
@@ -285,7 +283,7 @@
 			return result{held, "the job is completed"}
 		}
 	}
-	return result{broken, fmt.Sprintf("LOST: an accepted job is not completed; %d runs of %d tasks began", len(s.rec.runsOf(firstID)), n)}
+	return result{broken, fmt.Sprintf("LOST: an accepted job of %d tasks has had nothing running for 45 s on an idle worker; %d runs began", n, len(s.rec.runsOf(firstID)))}
 }
 
 // playMixed hands in gangs, timed jobs and steps that depend on each other while processes end.
