--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -83,6 +83,17 @@
 	return false
 }
 
+// readConfig asks all control machines for the configuration until one answers with it.
+func (c *client) readConfig(limit time.Duration) bool {
+	for began, i := time.Now(), 0; time.Since(began) < limit; i++ {
+		if status, _ := c.send(http.MethodGet, addr(c.sys.controlIP(i%len(c.sys.controls)), controlPort), "/Config.Read", nil, time.Second); status == http.StatusOK {
+			return true
+		}
+		time.Sleep(operatorRetry)
+	}
+	return false
+}
+
 // job returns a job of one step.
 func job(workMS int, step map[string]any) map[string]any {
 	spec, err := json.Marshal(taskSpec{WorkMS: workMS})
