--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -22,6 +22,7 @@
 	rpcPort      = 7720
 	metricsPort  = 7735
 	controlCount = 3
+	entryCount   = 4 // one on each control machine, the last one on a machine of its own
 	region       = "kyushu-south"
 	service      = "engrave-desk"
 )
@@ -189,7 +190,9 @@
 			return nil, err
 		}
 		s.controls = append(s.controls, p)
-		p, err = s.addProcess(fmt.Sprintf("entry-%d", i+1), s.entrySettings(i))
+	}
+	for i := range entryCount {
+		p, err := s.addProcess(fmt.Sprintf("entry-%d", i+1), s.entrySettings(i))
 		if err != nil {
 			return nil, err
 		}
@@ -235,7 +238,14 @@
 func (s *system) controlIP(i int) string     { return fmt.Sprintf("%s.%d", s.subnet, 1+i) }
 func (s *system) sideIP(i int) string        { return fmt.Sprintf("%s.%d", s.subnet, 100+i) }
 func (s *system) workerAddress(i int) string { return addr(s.sideIP(i), workerPort) }
-func (s *system) entryAddress(i int) string  { return addr(s.controlIP(i), callersPort) }
+func (s *system) entryAddress(i int) string  { return addr(s.entryIP(i), callersPort) }
+
+func (s *system) entryIP(i int) string {
+	if i < controlCount {
+		return s.controlIP(i)
+	}
+	return fmt.Sprintf("%s.%d", s.subnet, 50+i)
+}
 
 // settings returns the rendered platform/settings.jsonc of one process.
 func (s *system) settings(name, role, ip, zone string, bootstrap bool, more map[string]any) map[string]any {
@@ -264,8 +274,8 @@
 }
 
 func (s *system) entrySettings(i int) map[string]any {
-	return s.settings(fmt.Sprintf("entry-%d", i+1), "entry", s.controlIP(i), zones[i%len(zones)], true, map[string]any{
-		"callers_address": s.entryAddress(i), "readiness_address": addr(s.controlIP(i), readyPort),
+	return s.settings(fmt.Sprintf("entry-%d", i+1), "entry", s.entryIP(i), zones[i%len(zones)], true, map[string]any{
+		"callers_address": s.entryAddress(i), "readiness_address": addr(s.entryIP(i), readyPort),
 	})
 }
 
