Keep a cancellation that comes before its submission

Cause: the leader answered the cancellation of a job that it did not know from its memory and recorded nothing, so a submission that arrived later, or was proposed and not yet applied, was carried out.

Change: CancelQueueJob names the queue and is committed for unknown jobs as well. It cancels a submission that precedes it in the log, and one that follows is refused as expired. Ids of jobs have at most 128 bytes.

--- a/internal/control/lwcontrol/dispatch_record.go
+++ b/internal/control/lwcontrol/dispatch_record.go
@@ -153,8 +153,8 @@
 	}()
 }
 
-// removeEndedJobs proposes to remove the jobs of queues that ended more than
-// queueJobRetention ago. The caller holds mu.
+// removeEndedJobs proposes to remove the jobs of queues that ended, and the cancellations
+// of unknown jobs that were recorded, more than queueJobRetention ago. The caller holds mu.
 func (d *dispatcher) removeEndedJobs(ctx context.Context, r *replica) {
 	if r.now()-d.jobsRemovedAt < jobRemovalInterval {
 		return
@@ -164,6 +164,8 @@
 	due := false
 	r.read(func(s *lwstate.State) {
 		before = s.Clock().Add(-queueJobRetention)
+		cancellations := s.Queues().Cancellations()
+		due = len(cancellations) > 0 && cancellations[0].At < before
 		s.Queues().EachJob(func(j *lwjob.Job) { due = due || (j.State.Final() && j.Ended < before) })
 	})
 	if due {
--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -24,6 +24,7 @@
 	jobsResent             = lwmetric.Counter("queue_jobs_resent_total")
 	jobsRefused            = lwmetric.Counter("queue_jobs_refused_total")
 	configurationsAccepted = lwmetric.Counter("queue_configurations_total")
+	unknownJobsCancelled   = lwmetric.Counter("queue_unknown_jobs_cancelled_total")
 )
 
 func (n *Node) registerQueueHandlers() {
@@ -197,6 +198,9 @@
 		job = lwjob.Job{Spec: p.Spec, Queue: q, Term: uint64(n.dispatcher.term), PlacementsRecorded: true}
 		old := s.Queues().Job(p.Spec.ID)
 		known = old != nil && old.Spec.Queue == q.Key
+		if old == nil && s.Queues().CancelledBefore(q.Key, p.Spec.ID) {
+			err = lwfault.New(lwfault.Expired, "job %s was cancelled before it was accepted", p.Spec.ID)
+		}
 	})
 	if err != nil || known {
 		return job, known, err
@@ -231,7 +235,7 @@
 		}
 		j := s.Queues().Job(id)
 		if j == nil || j.Spec.Queue != q.Key {
-			err = lwfault.New(lwfault.Expired, "job %s does not exist", id)
+			err = unknownJob(id)
 			return
 		}
 		res.State = j.State
@@ -245,32 +249,56 @@
 	return res, err
 }
 
+// cancelQueueJob cancels a job, also one that no submission has reached the log for yet. It fails
+// with kind Expired if the queue has no such job; a submission that arrives later is then refused.
 func (n *Node) cancelQueueJob(ctx context.Context, r *replica, _ *lwrpc.Session, target lwlink.RequestTarget) (empty, error) {
-	if err := n.dispatcher.lockAsLeader(r); err != nil {
+	c, pending, err := n.planCancellation(r, target)
+	if err != nil || !pending {
 		return empty{}, err
 	}
-	var id lwunit.JobID
-	var err error
-	ended := false
+	res, err := n.commit(ctx, r, c)
+	n.decisionLog.Info("job_cancel", zap.String("job", string(c.Job)), zap.Bool("recorded", err == nil), zap.Bool("known", res.Fresh), zap.Error(err))
+	switch {
+	case err != nil:
+		return empty{}, err
+	case !res.Fresh:
+		unknownJobsCancelled.Add(1)
+		return empty{}, unknownJob(c.Job)
+	default:
+		return empty{}, nil
+	}
+}
+
+// planCancellation returns the command that cancels a job, and whether it has to be committed: a job
+// that has ended, or whose cancellation is recorded, needs none. It fails with kind Expired if no
+// such job can ever be accepted.
+func (n *Node) planCancellation(r *replica, target lwlink.RequestTarget) (c lwstate.CancelQueueJob, pending bool, err error) {
+	if err := n.dispatcher.lockAsLeader(r); err != nil {
+		return c, false, err
+	}
+	defer n.dispatcher.mu.Unlock()
 	r.read(func(s *lwstate.State) {
 		var q lwconfig.Queue
-		if q, id, err = findQueue(s.Queues().Config(), target); err != nil {
+		if q, c.Job, err = findQueue(s.Queues().Config(), target); err != nil {
 			return
 		}
-		j := s.Queues().Job(id)
-		if j == nil || j.Spec.Queue != q.Key {
-			err = lwfault.New(lwfault.Expired, "job %s does not exist", id)
-			return
+		c.Queue = q.Key
+		j := s.Queues().Job(c.Job)
+		switch {
+		case j != nil && j.Spec.Queue == q.Key:
+			pending = !j.State.Final()
+		case !lwjob.ValidID(c.Job), s.Queues().CancelledBefore(q.Key, c.Job):
+			err = unknownJob(c.Job)
+		default:
+			err = s.Queues().CheckCancellations()
+			pending = err == nil
 		}
-		ended = j.State.Final()
 	})
-	n.dispatcher.mu.Unlock()
-	if err != nil || ended {
-		return empty{}, err
-	}
-	_, err = n.commit(ctx, r, lwstate.CancelQueueJob{Job: id})
-	n.decisionLog.Info("job_cancel", zap.String("job", string(id)), zap.Bool("recorded", err == nil))
-	return empty{}, err
+	return c, pending, err
+}
+
+func unknownJob(id lwunit.JobID) error {
+	return lwfault.New(lwfault.Expired, "job %s does not exist", id)
 }
 
 func (n *Node) configure(ctx context.Context, r *replica, _ *lwrpc.Session, d lwconfig.Document) (empty, error) {
--- a/internal/control/lwcontrol/queue_test.go
+++ b/internal/control/lwcontrol/queue_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwlog"
+	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwdisk"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
@@ -153,3 +157,89 @@
 	carriedOutSince := &lwfault.Fault{Kind: lwfault.Overloaded}
 	is.NoErr(n.refuseJob(r, lwlink.RequestTarget{Host: "h", Path: "/a/j"}, carriedOutSince))
 }
+
+func cancelTestJob(t *testing.T, n *Node, r *replica, path string) error {
+	t.Helper()
+	_, err := n.cancelQueueJob(t.Context(), r, nil, lwlink.RequestTarget{Host: "h", Path: path})
+	return err
+}
+
+// Guards against a cancelled job that runs because its submission arrives after the cancellation,
+// from an entry that was frozen or cut off.
+func TestSubmissionAfterCancellation(t *testing.T) {
+	expired := func(err error) bool { return lwfault.KindOf(err) == lwfault.Expired }
+	t.Run("is refused, also when it is sent again", func(t *testing.T) {
+		is := is.New(t)
+		n, r, _ := newQueueNode(t)
+		is.True(expired(cancelTestJob(t, n, r, "/a/j")))
+		is.True(expired(submitTestJob(t, n, r, "/a/j")))
+		is.True(expired(submitTestJob(t, n, r, "/a/j")))
+		is.True(expired(cancelTestJob(t, n, r, "/a/j")))
+		_, err := n.showQueueJob(t.Context(), r, nil, lwlink.RequestTarget{Host: "h", Path: "/a/j"})
+		is.True(expired(err)) // no job that was never accepted is shown
+	})
+	t.Run("to another queue is accepted", func(t *testing.T) {
+		is := is.New(t)
+		n, r, _ := newQueueNode(t)
+		is.True(expired(cancelTestJob(t, n, r, "/a/j")))
+		is.NoErr(submitTestJob(t, n, r, "/b/j"))
+		is.True(expired(cancelTestJob(t, n, r, "/a/j")))
+		r.read(func(s *lwstate.State) { is.Equal(s.Queues().Job("j").State, lwjob.Queued) })
+	})
+	t.Run("that was proposed before the cancellation is cancelled", func(t *testing.T) {
+		is := is.New(t)
+		n, r, disk := newQueueNode(t)
+		stopped, resume := make(chan struct{}), make(chan struct{})
+		var once sync.Once
+		disk.SetFault(func(int, string, string) lwdisk.Fault {
+			once.Do(func() { close(stopped) })
+			<-resume
+			return lwdisk.Fault{}
+		})
+		submitted, cancelled := make(chan error, 1), make(chan error, 1)
+		go func() { submitted <- submitTestJob(t, n, r, "/a/j") }()
+		<-stopped
+		go func() { cancelled <- cancelTestJob(t, n, r, "/a/j") }()
+		select {
+		case err := <-cancelled: // acknowledged without a commit
+			cancelled <- err
+		case <-time.After(50 * time.Millisecond):
+		}
+		close(resume)
+		is.NoErr(<-submitted)
+		if err := <-cancelled; err != nil {
+			is.True(expired(err))
+		}
+		r.read(func(s *lwstate.State) { is.Equal(s.Queues().Job("j").State, lwjob.Cancelled) })
+	})
+}
+
+// Guards against memory and a log that grow with each cancellation of a job that nobody submits.
+func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
+	is := is.New(t)
+	n, r, _ := newQueueNode(t)
+	revision := func() (rev lwunit.Revision) {
+		r.read(func(s *lwstate.State) { rev = s.Revision() })
+		return rev
+	}
+	is.Equal(lwfault.KindOf(cancelTestJob(t, n, r, "/a/j")), lwfault.Expired)
+	once := revision()
+	for _, path := range []string{"/a/j", "/a/", "/a/x.y", "/a/" + strings.Repeat("x", 1<<16)} {
+		is.Equal(lwfault.KindOf(cancelTestJob(t, n, r, path)), lwfault.Expired)
+	}
+	is.Equal(revision(), once) // neither a second cancellation nor one of an impossible id is recorded
+	r.mu.Lock()
+	for i := range lwjob.MaxCancellations {
+		_, _ = r.state.Queues().Cancel(lwconfig.QueueKey{Host: "h", Prefix: "/a/"}, lwunit.JobID(fmt.Sprint(i)), 1)
+	}
+	r.mu.Unlock()
+	is.Equal(lwfault.KindOf(cancelTestJob(t, n, r, "/a/k")), lwfault.Overloaded)
+	is.Equal(revision(), once)
+	is.NoErr(submitTestJob(t, n, r, "/a/k"))
+	is.NoErr(cancelTestJob(t, n, r, "/a/k")) // a job that is known is cancelled all the same
+	n.dispatcher.mu.Lock()
+	n.dispatcher.jobsRemovedAt = -jobRemovalInterval
+	n.dispatcher.removeEndedJobs(t.Context(), r)
+	n.dispatcher.mu.Unlock()
+	eventually(t, "old cancellations are removed", func() bool { return lwfault.KindOf(cancelTestJob(t, n, r, "/a/l")) == lwfault.Expired })
+}
--- a/internal/control/lwdispatch/fixture_test.go
+++ b/internal/control/lwdispatch/fixture_test.go
@@ -152,7 +152,7 @@
 }
 
 func (f *fixture) cancel(id string) {
-	f.table.Cancel(lwunit.JobID(id), f.wallClock)
+	_, _ = f.table.Cancel(lwconfig.QueueKey{}, lwunit.JobID(id), f.wallClock)
 	f.core.JobEnded(lwunit.JobID(id), "cancelled")
 	f.step()
 }
--- a/internal/control/lwjob/spec.go
+++ b/internal/control/lwjob/spec.go
@@ -52,16 +52,22 @@
 
 const (
 	maxTextBytes = 4000 // of Spec.Text
+	maxIDBytes   = 128
 	maxSteps     = 256
 	maxTasks     = 20000 // of one occurrence
 	maxAllTasks  = 50000 // of all occurrences; each leader keeps them in memory
 )
 
+// ValidID reports whether a job may have the id.
+func ValidID(id lwunit.JobID) bool {
+	return id != "" && len(id) <= maxIDBytes && !strings.ContainsAny(string(id), "./")
+}
+
 // Check returns an error if the job can never be accepted.
 func (s *Spec) Check() error {
 	switch {
-	case s.ID == "" || strings.ContainsAny(string(s.ID), "./"):
-		return lwfault.New(lwfault.Invalid, "job id %q is empty or contains a dot or a slash", s.ID)
+	case !ValidID(s.ID):
+		return lwfault.New(lwfault.Invalid, "job id %.*q is empty, contains a dot or a slash, or has more than %d bytes", maxIDBytes, s.ID, maxIDBytes)
 	case len(s.Text) > maxTextBytes:
 		return lwfault.New(lwfault.Invalid, "the specification has %d bytes; the limit is %d", len(s.Text), maxTextBytes)
 	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
--- a/internal/control/lwjob/table.go
+++ b/internal/control/lwjob/table.go
@@ -126,13 +126,16 @@
 	Waves  map[WaveID]*Wave      `json:"waves,omitempty"`
 
 	Interference []Interference `json:"disturbances,omitempty"`
+
+	Cancellations []Cancellation `json:"cancellations,omitempty"` // the oldest first
 }
 
 // Table is the replicated record of the configuration, jobs, roster, waves and
 // interference. It is not safe for concurrent use.
 type Table struct {
-	contents Contents
-	finished []lwunit.JobID // final jobs in the order of their end
+	contents  Contents
+	finished  []lwunit.JobID        // final jobs in the order of their end
+	cancelled map[cancelledKey]bool // the keys of contents.Cancellations
 }
 
 // NewTable returns an empty table.
@@ -148,7 +151,10 @@
 	if c.Waves == nil {
 		c.Waves = make(map[WaveID]*Wave)
 	}
-	t := &Table{contents: c}
+	t := &Table{contents: c, cancelled: make(map[cancelledKey]bool, len(c.Cancellations))}
+	for _, x := range c.Cancellations {
+		t.cancelled[x.key()] = true
+	}
 	for id, j := range c.Jobs {
 		if j.State.Final() {
 			t.finished = append(t.finished, id)
@@ -162,12 +168,12 @@
 func (t *Table) Contents() Contents { return t.contents }
 
 // Clone returns a copy of the contents, which later changes of the table do not
-// affect. The copy is for writing a snapshot: it lacks the list of ended jobs from
-// which RemoveJobs removes.
+// affect. The copy is for writing a snapshot: it lacks what Restore derives.
 func (t *Table) Clone() *Table {
 	c := t.contents
 	c.Roster = slices.Clone(c.Roster)
 	c.Interference = slices.Clone(c.Interference)
+	c.Cancellations = slices.Clone(c.Cancellations)
 	c.Jobs = make(map[lwunit.JobID]*Job, len(t.contents.Jobs))
 	for id, j := range t.contents.Jobs {
 		copied := *j
@@ -218,9 +224,10 @@
 	return true
 }
 
-// Accept adds a job. It does not change a job that exists.
+// Accept adds a job. It does not change a job that exists, and does not add one that
+// was cancelled before it was accepted.
 func (t *Table) Accept(j Job) (added bool) {
-	if t.contents.Jobs[j.Spec.ID] != nil {
+	if t.contents.Jobs[j.Spec.ID] != nil || t.CancelledBefore(j.Spec.Queue, j.Spec.ID) {
 		return false
 	}
 	j.State = Queued
@@ -232,18 +239,6 @@
 	return true
 }
 
-// Cancel cancels a job unless it has ended. It reports whether the job exists.
-func (t *Table) Cancel(id lwunit.JobID, at lwunit.Millis) bool {
-	j := t.contents.Jobs[id]
-	if j == nil {
-		return false
-	}
-	if !j.State.Final() {
-		t.endJob(j, Cancelled, at)
-	}
-	return true
-}
-
 // RecordEnd records the end of a run. It is idempotent.
 func (t *Table) RecordEnd(e End, at lwunit.Millis) {
 	id, key, err := ParseTaskName(e.Task)
@@ -355,8 +350,10 @@
 	t.finished = append(t.finished, j.Spec.ID)
 }
 
-// RemoveJobs removes jobs that ended before the given time.
+// RemoveJobs removes jobs that ended, and cancellations that were recorded, before the
+// given time.
 func (t *Table) RemoveJobs(before lwunit.Millis) {
+	t.removeCancellations(before)
 	n := 0
 	for n < len(t.finished) {
 		j := t.contents.Jobs[t.finished[n]]
--- a/internal/control/lwjob/table_test.go
+++ b/internal/control/lwjob/table_test.go
@@ -116,7 +116,7 @@
 func TestFinalStatesDoNotChange(t *testing.T) {
 	table := lwjob.NewTable()
 	table.Accept(job(lwjob.Step{Count: 1}))
-	table.Cancel("j", 5)
+	_, _ = table.Cancel(lwconfig.QueueKey{}, "j", 5)
 	table.RecordEnd(end("j.0.0.0", 1, lwjob.EndDone), 6)
 	expectState(t, table, lwjob.Cancelled)
 	if table.Accept(job(lwjob.Step{Count: 1})) {
--- a/internal/control/lwstate/clone_test.go
+++ b/internal/control/lwstate/clone_test.go
@@ -39,6 +39,7 @@
 			lwstate.BeginMaintenance{Wave: 1, Machine: lwjob.MachineID(fmt.Sprint("m", i))},
 			lwstate.RecordInterference{Pairs: []lwjob.Interference{{FillingImage: "f", Gain: float64(i)}, {FillingImage: "g", Gain: 1}}},
 			lwstate.CancelQueueJob{Job: job.Spec.ID},
+			lwstate.CancelQueueJob{Queue: lwconfig.QueueKey{Prefix: "/a/"}, Job: lwunit.JobID(fmt.Sprint("u", i))},
 			setEvacuation(d, "a", i%2 == 0),
 			ticket(i+2, "aiko", service("s", 8+i)),
 			lwstate.SubmitJob{Spec: spec},
--- a/internal/control/lwstate/queue.go
+++ b/internal/control/lwstate/queue.go
@@ -14,14 +14,17 @@
 }
 
 // AcceptQueueJob adds a job of a queue. It has no effect if the job exists, and is
-// refused if another queue has a job with its id.
+// refused if another queue has a job with its id, or if it has been cancelled before.
 type AcceptQueueJob struct {
 	Job lwjob.Job `json:"job"`
 }
 
-// CancelQueueJob cancels a job of a queue.
+// CancelQueueJob cancels a job of a queue. If the queue has no such job, the cancellation
+// is recorded, so that a submission that arrives later is refused. It is refused while too
+// many are recorded.
 type CancelQueueJob struct {
-	Job lwunit.JobID `json:"job"`
+	Job   lwunit.JobID      `json:"job"`
+	Queue lwconfig.QueueKey `json:"queue,omitzero"` // zero in entries of older versions, which name a job that exists
 }
 
 // RecordRuns records the ends of runs, and the worker incarnations on which tasks
@@ -49,7 +52,8 @@
 	Machine lwjob.MachineID `json:"machine"`
 }
 
-// RemoveQueueJobs removes the queue jobs that ended before the given time.
+// RemoveQueueJobs removes the queue jobs that ended, and the cancellations of unknown jobs
+// that were recorded, before the given time.
 type RemoveQueueJobs struct {
 	Before lwunit.Millis `json:"before"`
 }
@@ -79,11 +83,14 @@
 	case AcceptQueueJob:
 		c.Job.Accepted = s.c.Clock
 		res.Fresh = s.queues.Accept(c.Job)
-		if kept := s.queues.Job(c.Job.Spec.ID).Spec.Queue; kept != c.Job.Spec.Queue {
+		switch kept := s.queues.Job(c.Job.Spec.ID); {
+		case kept == nil:
+			res.Err = lwfault.New(lwfault.Expired, "job %s was cancelled before it was accepted", c.Job.Spec.ID)
+		case kept.Spec.Queue != c.Job.Spec.Queue:
 			res.Err = lwfault.New(lwfault.Conflict, "the id %s is taken by a job of another queue", c.Job.Spec.ID)
 		}
 	case CancelQueueJob:
-		res.Fresh = s.queues.Cancel(c.Job, s.c.Clock)
+		res.Fresh, res.Err = s.queues.Cancel(c.Queue, c.Job, s.c.Clock)
 	case RecordRuns:
 		for _, e := range c.Ends {
 			s.queues.RecordEnd(e, s.c.Clock)
--- a/internal/control/lwstate/queue_test.go
+++ b/internal/control/lwstate/queue_test.go
@@ -100,11 +100,13 @@
 		"accept": func(t *rapid.T) {
 			j := queueJob(lwunit.JobID(fmt.Sprint("j", rapid.IntRange(0, 3).Draw(t, "job"))), rapid.IntRange(1, 3).Draw(t, "tasks"))
 			j.Spec.Repeats = rapid.IntRange(0, 2).Draw(t, "repeats")
+			j.Spec.Queue.Prefix = rapid.SampledFrom([]string{"", "/a/"}).Draw(t, "queue")
 			j.Spec.Steps[0].Gang = rapid.Bool().Draw(t, "gang")
 			d.apply(lwstate.AcceptQueueJob{Job: j})
 		},
 		"cancel": func(t *rapid.T) {
-			d.apply(lwstate.CancelQueueJob{Job: lwunit.JobID(fmt.Sprint("j", rapid.IntRange(0, 3).Draw(t, "job")))})
+			queue := lwconfig.QueueKey{Prefix: rapid.SampledFrom([]string{"", "/a/"}).Draw(t, "queue")}
+			d.apply(lwstate.CancelQueueJob{Queue: queue, Job: lwunit.JobID(fmt.Sprint("j", rapid.IntRange(0, 3).Draw(t, "job")))})
 		},
 		"end": func(t *rapid.T) {
 			how := rapid.SampledFrom([]lwjob.EndKind{lwjob.EndDone, lwjob.EndFailed, lwjob.EndStopped, lwjob.EndLeaseExpired}).Draw(t, "how")
--- a/internal/worker/lwrunner/schedule_leader_test.go
+++ b/internal/worker/lwrunner/schedule_leader_test.go
@@ -8,6 +8,7 @@
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
+	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
 	"lavenderweir.example/lavenderweir/internal/control/lwdispatch"
 	"lavenderweir.example/lavenderweir/internal/control/lwjob"
 	"lavenderweir.example/lavenderweir/internal/control/lwlink"
@@ -298,7 +299,7 @@
 	if l.deposed {
 		return
 	}
-	l.propose(func() { l.s.table.Cancel(id, l.s.wallClock()) }, func() { l.applyJobEnd(id) })
+	l.propose(func() { _, _ = l.s.table.Cancel(lwconfig.QueueKey{}, id, l.s.wallClock()) }, func() { l.applyJobEnd(id) })
 }
 
 // send sends orders over the connection of an agent, under the token of this moment. The
