Take a worker back by long-running tasks that stay at work

Cause: a suspected worker is probed until a run on it ends done, and a long-running task never does. Under load control its failures counted in the failure rate and its successes did not.

Change: a long-running task that is at work for a second, and for twice as long as the runs that failed on the worker, counts as a success, once, if this leader started it after the suspicion.

--- a/internal/control/lwdispatch/core.go
+++ b/internal/control/lwdispatch/core.go
@@ -40,6 +40,7 @@
 	probationEnd    time.Duration // until then a crash of its worker is soon after its start; 0 unless workers have crashed under its task
 	apart           bool          // no other task starts on its worker until probationEnd
 	notComparable   bool          // its run time does not tell the speed of its worker
+	proven          bool          // it is long-running and has shown that its worker is sound
 	progress        lwspeed.Progress
 
 	// Model of the tail latency of a serving run, estimated from its samples.
--- a/internal/control/lwdispatch/ends.go
+++ b/internal/control/lwdispatch/ends.go
@@ -52,7 +52,7 @@
 			return // counted already, by an earlier leader or before its worker was removed and returned
 		}
 		t.failedRuns = append(t.failedRuns, e.Run)
-		c.recordFailure(w, t)
+		c.recordFailure(w, t, r)
 		if !s.spec.LongRunning && len(t.failedRuns) >= max(1, s.job.queue.MaxAttempts) {
 			c.failJob(s.job, "its job has failed")
 		}
--- a/internal/control/lwdispatch/health.go
+++ b/internal/control/lwdispatch/health.go
@@ -19,6 +19,8 @@
 	suspicions  int                   // in a row
 	probing     bool                  // a task was started after the last suspicion
 	probedAt    time.Duration
+	suspectedAt time.Duration // when it was last suspected
+	failureAge  time.Duration // of the failed run that lasted longest since the worker was last trusted
 
 	timesTakenBack int // in a row, each within flapMemory of the one before
 	takenBackAt    time.Duration
@@ -63,10 +65,46 @@
 	w.health = next
 }
 
+// maxProvingTime is how long a long-running task must be at work at most to show that its
+// worker is sound. Tasks that wait for the worker have nothing running in the meantime.
+const maxProvingTime = 3 * time.Second
+
+// provingTime returns how long a long-running task must be at work on a worker to show that
+// the worker is sound: clearly longer than the runs that failed there.
+func (c *Core) provingTime(w *worker) time.Duration {
+	return min(max(c.cfg.SuspicionPause, 2*w.health.failureAge), maxProvingTime)
+}
+
+// observeLongRunning counts each long-running task that stays at work as a success of its
+// worker, since the run may never end. A run from before the last suspicion tells nothing of
+// what the worker starts now. The lists of the worker are listsAge old.
+func (c *Core) observeLongRunning(w *worker, listsAge time.Duration) {
+	for _, r := range w.sortedRuns() {
+		if r.proven || r.adopted || r.phase != runListed || !r.task.step.spec.LongRunning || r.status.Progress < fullPercent {
+			continue
+		}
+		if c.now-listsAge-r.orderedAt < c.provingTime(w) {
+			continue
+		}
+		r.proven = true
+		if c.cfg.LoadControl {
+			c.speedModel(w).AddOutcome(c.now, false, 1)
+			c.updateSpeed(w)
+		}
+		if r.orderedAt >= w.health.suspectedAt {
+			c.recordSuccess(w)
+		}
+	}
+}
+
 // recordFailure counts a failed run. Only the first failure of a task counts: a
-// task that fails more than once is more likely at fault than its worker.
-func (c *Core) recordFailure(w *worker, t *task) {
+// task that fails more than once is more likely at fault than its worker. R is nil if this
+// leader does not know when the run began.
+func (c *Core) recordFailure(w *worker, t *task, r *run) {
 	h := &w.health
+	if r != nil && !r.adopted {
+		h.failureAge = max(h.failureAge, c.now-r.orderedAt)
+	}
 	if len(t.failedRuns) > 1 {
 		return
 	}
@@ -85,6 +123,7 @@
 	h := &w.health
 	pause := min(c.cfg.SuspicionPause<<min(h.suspicions+c.recentFlaps(h), 4), maxSuspicionPause)
 	h.suspicions++
+	h.suspectedAt = c.now
 	h.pausedUntil = c.now + pause
 	h.probing = false
 	h.failedJobs = nil
@@ -92,7 +131,8 @@
 }
 
 // trusted reports whether a worker may be given a task now. After a suspicion it is
-// probed with one task in each SuspicionPause until a task is done.
+// probed with one task in each SuspicionPause until a task is done, or a long-running one
+// stays at work.
 func (c *Core) trusted(w *worker) bool {
 	h := &w.health
 	if c.now < h.pausedUntil {
--- a/internal/control/lwdispatch/report.go
+++ b/internal/control/lwdispatch/report.go
@@ -90,6 +90,7 @@
 			c.drainWorker(w)
 		}
 	}
+	c.observeLongRunning(w, m.ListsAge.Std())
 	c.observeLists(w, m.ListsAge.Std())
 	c.controlInterference(w)
 }
