Do not use the buffer of a chunked answer twice

Callers could get bytes of another caller's request or answer after chunked answers of 64 KiB and more.

Cause: nbhttp returns the buffer of such an answer to its pool, goes on using it and returns it again, so that two users share it.

Change: chunked answers are passed on in parts of at most 16 KiB and flushed before nbhttp's buffer could reach 64 KiB.

Measured: TestLargeAnswersShareNoBuffer fails in 4 of 4 runs without the change (malformed chunks, answers and request bodies of other callers), and passes with it.

--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,9 @@
 	maxConcurrentHandlers    = 2048
 	copyBufferBytes          = 32 << 10
 	maxUnsentBytes           = 256 << 10
+	maxChunkBytes            = 16 << 10
+	maxBufferedChunks        = 48 << 10
+	maxChunkOverhead         = 256 // of a chunk, a header line, or the status line with the date
 	engineStopTimeout        = 2 * time.Second
 	disconnectPollInterval   = 50 * time.Millisecond
 	smallAnswerBytes         = 16 << 10               // smaller answers are not awaited before a close
@@ -343,7 +347,7 @@
 	defer conn.endRequest()
 	stop := conn.watchDisconnect(nbc)
 	defer stop()
-	out := &backpressureWriter{Response: res, conn: conn, nbc: nbc, stallTimeout: s.cfg.WriteStallTimeout}
+	out := &backpressureWriter{Response: res, conn: conn, nbc: nbc, stallTimeout: s.cfg.WriteStallTimeout, atLeast11: r.ProtoAtLeast(1, 1)}
 	r = r.WithContext(ctx)
 	r.Close = requestedClose
 	s.cfg.Handler.ServeHTTP(out, r)
@@ -367,19 +371,62 @@
 	nbc          *nbio.Conn
 	stallTimeout time.Duration
 	writtenBytes int // body bytes of this answer
+	atLeast11    bool
+	begun        bool // a chunk has been written
+	buffered     int  // at least the bytes that nbhttp has buffered of a chunked answer
 }
 
 // Write queues data and waits while more than maxUnsentBytes are queued.
 func (w *backpressureWriter) Write(data []byte) (int, error) {
-	n, err := w.Response.Write(data)
-	if err != nil {
-		return n, fmt.Errorf("write answer: %w", err)
+	chunked := w.isChunked()
+	written := 0
+	for {
+		part := data[written:]
+		if chunked {
+			part = part[:min(len(part), maxChunkBytes)]
+			w.flushBefore(len(part))
+		}
+		n, err := w.Response.Write(part)
+		written += n
+		w.writtenBytes += n
+		w.conn.mu.Lock()
+		w.conn.queuedBytes += int64(n)
+		w.conn.mu.Unlock()
+		if err != nil {
+			return written, fmt.Errorf("write answer: %w", err)
+		}
+		if err := w.awaitSpace(); err != nil || written == len(data) {
+			return written, err
+		}
+		if n == 0 {
+			return written, io.ErrShortWrite
+		}
+	}
+}
+
+// isChunked reports whether nbhttp sends the answer in chunks.
+func (w *backpressureWriter) isChunked() bool {
+	return w.atLeast11 && w.Header().Get(contentLengthHeader) == "" || slices.Contains(w.Header()["Transfer-Encoding"], "chunked")
+}
+
+// flushBefore sends what nbhttp has buffered of a chunked answer if a chunk of n bytes could make it
+// 64 KiB or more. nbhttp would then free the buffer before its last use and again after it, and
+// another answer would share it.
+func (w *backpressureWriter) flushBefore(n int) {
+	if !w.begun {
+		w.begun = true
+		w.buffered = maxChunkOverhead
+		for name, values := range w.Header() {
+			for _, v := range values {
+				w.buffered += len(name) + len(v) + maxChunkOverhead
+			}
+		}
+	}
+	w.buffered += n + maxChunkOverhead
+	if w.buffered > maxBufferedChunks {
+		w.Flush()
+		w.buffered = n + maxChunkOverhead
 	}
-	w.writtenBytes += n
-	w.conn.mu.Lock()
-	w.conn.queuedBytes += int64(n)
-	w.conn.mu.Unlock()
-	return n, w.awaitSpace()
 }
 
 // ReadFrom copies r through Write. Without it io.Copy would use the ReadFrom of
