Bound what processes without the cluster's key may send

Clients that do not have the cluster's key could make a control process hold hundreds of megabytes.

Cause: a connection could send frames of 8 MiB, and 4,096 of them, before it had shown the key, and keep its descriptor without ever doing so.

Change: a connection may send 16 KiB until it has shown the key and is closed after 10 s without it; both are counted in rpc_no_keys_total.

--- a/internal/net/lwrpc/endpoint.go
+++ b/internal/net/lwrpc/endpoint.go
@@ -24,6 +24,7 @@
 	helloMethod     = "hello"
 	readBufferBytes = 16 << 10
 	maxUnsentBytes  = 16 << 20
+	authTimeout     = 10 * time.Second // within which an accepted connection must show the cluster's key
 	faultErrorCode  = -32000
 )
 
@@ -32,11 +33,10 @@
 	lastReceived atomic.Int64 // time of the last received bytes, in nanoseconds of the endpoint's clock
 	pinging      atomic.Bool
 
-	mu            sync.Mutex // held by addSession until the fields below are set
-	rpc           *jsonrpc2.Conn
-	stream        *stream
-	authenticated bool
-	dialled       bool // by this process, which then pings it when idle
+	mu      sync.Mutex // held by addSession until the fields below are set
+	rpc     *jsonrpc2.Conn
+	stream  *stream
+	dialled bool // by this process, which then pings it when idle
 }
 
 func (s *Session) conn() *jsonrpc2.Conn {
@@ -51,6 +51,14 @@
 	return s.stream
 }
 
+// closeUnauthenticated closes the connection unless the peer has shown the cluster's key.
+func (s *Session) closeUnauthenticated() {
+	if stream := s.frameStream(); !stream.authenticated.Load() {
+		rpcNoKeys.Add(1)
+		stream.fail(lwfault.New(lwfault.Unauthorized, "no hello within %s", authTimeout))
+	}
+}
+
 // Done returns a channel that is closed when the connection has closed.
 func (s *Session) Done() <-chan struct{} { return s.conn().DisconnectNotify() }
 
@@ -169,11 +177,15 @@
 	if s, ok := e.sessions.Load(c); ok {
 		return s.(*Session)
 	}
-	s := &Session{authenticated: dialled, dialled: dialled}
+	s := &Session{dialled: dialled}
 	s.lastReceived.Store(int64(e.clock.Now()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stream = newStream(c)
+	s.stream.authenticated.Store(dialled)
+	if !dialled {
+		time.AfterFunc(authTimeout, s.closeUnauthenticated)
+	}
 	e.sessions.Store(c, s)
 	_ = c.SetNoDelay(true)
 	rpcConnections.Add(1)
@@ -215,10 +227,7 @@
 	case pingMethod:
 		return struct{}{}, nil
 	}
-	h.session.mu.Lock()
-	authenticated := h.session.authenticated
-	h.session.mu.Unlock()
-	if !authenticated {
+	if !h.session.frameStream().authenticated.Load() {
 		h.session.Close()
 		return nil, lwfault.New(lwfault.Unauthorized, "the first message must be hello")
 	}
@@ -241,9 +250,7 @@
 		h.session.Close()
 		return nil, lwfault.New(lwfault.Unauthorized, "the cluster key does not match")
 	}
-	h.session.mu.Lock()
-	h.session.authenticated = true
-	h.session.mu.Unlock()
+	h.session.frameStream().authenticated.Store(true)
 	return struct{}{}, nil
 }
 
--- a/internal/net/lwrpc/stream.go
+++ b/internal/net/lwrpc/stream.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/lesismal/nbio"
 
@@ -20,6 +21,10 @@
 	frameHeaderBytes = 4
 	maxFrameBytes    = 8 << 20
 	maxQueuedFrames  = 4096
+
+	// maxBytesBeforeHello is what a connection that has not shown the cluster's key may send: the
+	// key, and pings that its process sends while it waits for the answer.
+	maxBytesBeforeHello = 16 << 10
 )
 
 var (
@@ -29,6 +34,7 @@
 	rpcFramesOut      = lwmetric.Counter("rpc_frames_out_total")
 	rpcBadFrames      = lwmetric.Counter("rpc_bad_frames_total")
 	rpcBadKeys        = lwmetric.Counter("rpc_bad_keys_total")
+	rpcNoKeys         = lwmetric.Counter("rpc_no_keys_total")
 	rpcQueueOverflows = lwmetric.Counter("rpc_queue_overflows_total")
 	rpcConnections    = lwmetric.Counter("rpc_connections_open")
 )
@@ -66,6 +72,9 @@
 	conn   *nbio.Conn
 	reader frameReader // used by the poller only
 
+	authenticated    atomic.Bool // the peer has shown the cluster's key
+	bytesBeforeHello int         // used by the poller only
+
 	mu     sync.Mutex
 	ready  *sync.Cond
 	frames [][]byte // received, not yet read
@@ -81,6 +90,13 @@
 // receive queues the frames in data. The poller calls it.
 func (s *stream) receive(data []byte) {
 	rpcBytesIn.Add(int64(len(data)))
+	if !s.authenticated.Load() {
+		if s.bytesBeforeHello += len(data); s.bytesBeforeHello > maxBytesBeforeHello {
+			rpcNoKeys.Add(1)
+			s.fail(lwfault.New(lwfault.Unauthorized, "the first message must be hello"))
+			return
+		}
+	}
 	frames, err := s.reader.add(data)
 	s.mu.Lock()
 	s.frames = append(s.frames, frames...)
