Bound what callers can make a process hold

Clients that sent many requests ahead and read nothing ended a process, which ran out of memory.

Cause: a server read and queued every request of a connection and every answer without a limit; headers, unfinished requests and connections had none for all callers together.

Change: a connection is read on only when its requests are answered and its answers mostly read. One account for all servers of a process closes the connection that takes most memory, or one that has been idle for long, beyond a share of the memory limit or of the descriptors. Requests of a connection run from a list of the server, since that of nbio grows until it is empty once.

--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -25,6 +25,7 @@
 	"lavenderweir.example/lavenderweir/internal/control/lwstate"
 	"lavenderweir.example/lavenderweir/internal/entry/lwentry"
 	"lavenderweir.example/lavenderweir/internal/entry/lwroute"
+	"lavenderweir.example/lavenderweir/internal/net/lwhttp"
 	"lavenderweir.example/lavenderweir/internal/net/lwrpc"
 	"lavenderweir.example/lavenderweir/internal/worker/lwagent"
 	"lavenderweir.example/lavenderweir/internal/worker/lwplatform"
@@ -35,6 +36,7 @@
 	gcPercent        = 50  // heap growth between collections, percent
 	hostedGCPercent  = 200 // as gcPercent, for hosted processes
 	hostedLimitShare = 0.6 // share of the provider's memory limit that the Go runtime may use
+	callerShare      = 6   // part of the memory limit that callers of all servers may take
 )
 
 // Options holds what tests and benchmarks configure in addition to the settings.
@@ -127,6 +129,9 @@
 // the Go runtime. A provider's limit is hard and also counts memory that the runtime
 // does not, such as the kernel's, so hosted processes stay well below it.
 func limitMemory(s lwsetting.Settings) {
+	if s.MemoryLimit > 0 {
+		lwhttp.LimitCallerMemory(s.MemoryLimit / callerShare)
+	}
 	if s.Hosted == nil {
 		debug.SetMemoryLimit(int64(s.MemoryLimit))
 		debug.SetGCPercent(gcPercent)
--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -43,6 +43,8 @@
 	closeDelay               = 10 * time.Millisecond  // for the poller to add a connection, or for queued bytes to move
 	lingerTimeout            = 100 * time.Millisecond // for the caller to close a connection after its last answer
 	drainPollInterval        = 10 * time.Millisecond
+	acceptPause              = 20 * time.Millisecond
+	spareConnections         = 64 // beyond MaxConns, for connections that are being closed
 	connectionHeader         = "Connection"
 	connectionClose          = "close"
 )
@@ -83,10 +85,13 @@
 
 // connection is the state of one accepted connection.
 type connection struct {
+	nbc         *nbio.Conn
 	mu          sync.Mutex
+	prepared    bool // its parser hands jobs to Server.execute
+	in          inbound
 	cancel      context.CancelFunc // of the request being served, if any
-	queuedBytes int64              // body bytes handed to nbio, of all answers so far
-	sentBytes   int64              // bytes written to the socket, headers included
+	queuedBytes int64              // bytes handed to nbio, of all answers so far
+	sentBytes   int64              // bytes written to the socket
 	progress    chan struct{}      // signalled when sentBytes grows or the connection closes
 	closed      bool
 }
@@ -102,7 +107,7 @@
 		Network:                "tcp",
 		Addrs:                  []string{cfg.Address},
 		Handler:                http.HandlerFunc(s.serve),
-		MaxLoad:                cfg.MaxConns,
+		MaxLoad:                cfg.MaxConns + spareConnections,
 		ReadLimit:              int(cfg.MaxBody + maxHeaderBytes),
 		MaxHTTPBodySize:        int(cfg.MaxBody),
 		ReadBufferSize:         readBufferBytes,
@@ -110,7 +115,11 @@
 		MessageHandlerPoolSize: maxConcurrentHandlers,
 		SupportServerOnly:      true,
 		NPoller:                1,
+		EpollMod:               nbio.EPOLLET, // a connection that is held back causes no events
+		Listen:                 listen,
+		OnRequest:              s.onRequest,
 	})
+	s.engine.OnRead(s.onReadable)
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
 	s.engine.OnWrittenSize(s.onWritten)
@@ -193,7 +202,9 @@
 	if !ok {
 		return
 	}
-	s.conns.Store(nbc, &connection{progress: make(chan struct{}, 1)})
+	added := &connection{nbc: nbc, progress: make(chan struct{}, 1), in: inbound{usedAt: time.Now()}}
+	s.conns.Store(nbc, added)
+	callers.add(added)
 	s.perAddress.mu.Lock()
 	s.perAddress.count[remoteIP(c)]++
 	overLimit := s.cfg.MaxPerAddress > 0 && s.perAddress.count[remoteIP(c)] > s.cfg.MaxPerAddress
@@ -217,6 +228,7 @@
 		return
 	}
 	s.releaseAddress(remoteIP(c))
+	callers.closed(v.(*connection))
 	v.(*connection).close()
 }
 
@@ -229,16 +241,27 @@
 	}
 }
 
-func (s *Server) onWritten(c *nbio.Conn, _ []byte, n int) {
-	v, ok := s.conns.Load(c)
+func (s *Server) connectionOf(nbc *nbio.Conn) *connection {
+	v, ok := s.conns.Load(nbc)
 	if !ok {
+		return nil
+	}
+	return v.(*connection)
+}
+
+func (s *Server) onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	c := s.connectionOf(nbc)
+	if c == nil {
 		return
 	}
-	conn := v.(*connection)
-	conn.mu.Lock()
-	conn.sentBytes += int64(n)
-	conn.mu.Unlock()
-	conn.signalProgress()
+	c.mu.Lock()
+	c.sentBytes += int64(n)
+	held := c.mayReceive()
+	c.mu.Unlock()
+	if held {
+		go s.resume(c) // the caller holds the lock of nbc
+	}
+	c.signalProgress()
 }
 
 func (c *connection) signalProgress() {
@@ -319,14 +342,15 @@
 	if !ok {
 		return
 	}
+	conn := s.connectionOf(nbc)
+	if conn == nil {
+		return
+	}
 	s.inFlight.Add(1)
 	last := r.Close || s.draining.Load()
-	defer nbc.MustExecute(func() { // runs after nbhttp has written the answer
-		s.inFlight.Add(-1)
-		if last {
-			_ = nbc.SetReadDeadline(time.Now().Add(lingerTimeout))
-		}
-	})
+	conn.mu.Lock()
+	conn.in.counted, conn.in.lastSeen = true, last // until the answer is written
+	conn.mu.Unlock()
 	if last {
 		w.Header().Set(connectionHeader, connectionClose)
 	}
@@ -335,11 +359,6 @@
 	// the caller closes it too. The poller may then apply the caller's close to
 	// a new connection that has got the same file descriptor.
 	r.Close = false
-	v, ok := s.conns.Load(nbc)
-	if !ok {
-		return
-	}
-	conn := v.(*connection)
 	_ = nbc.SetReadDeadline(time.Time{}) // the idle deadline must not end a request in service
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -360,6 +379,9 @@
 	if wrapped, ok := c.(*nbhttp.Conn); ok {
 		c = wrapped.Conn
 	}
+	if metered, ok := c.(*meteredConn); ok {
+		return metered.Conn, true
+	}
 	nbc, ok := c.(*nbio.Conn)
 	return nbc, ok
 }
@@ -389,9 +411,6 @@
 		n, err := w.Response.Write(part)
 		written += n
 		w.writtenBytes += n
-		w.conn.mu.Lock()
-		w.conn.queuedBytes += int64(n)
-		w.conn.mu.Unlock()
 		if err != nil {
 			return written, fmt.Errorf("write answer: %w", err)
 		}
@@ -478,18 +497,11 @@
 	}
 	w.Flush()
 	deadline := time.Now().Add(w.stallTimeout)
-	lastSent, lastProgress := int64(-1), time.Now()
 	for time.Now().Before(deadline) {
 		w.conn.mu.Lock()
-		sent, unsent, closed := w.conn.sentBytes, w.conn.queuedBytes-w.conn.sentBytes, w.conn.closed
+		unsent, closed := w.conn.queuedBytes-w.conn.sentBytes, w.conn.closed
 		w.conn.mu.Unlock()
-		if sent != lastSent {
-			lastSent, lastProgress = sent, time.Now()
-		}
-		// Headers count as sent but not as queued, so unsent may reach zero
-		// before the whole body is sent. The answer is complete once no more
-		// bytes are sent either.
-		if closed || (unsent <= 0 && time.Since(lastProgress) >= closeDelay) {
+		if closed || unsent <= 0 {
 			return
 		}
 		time.Sleep(closeDelay / 4)
