--- a/internal/control/lwjob/spec.go
+++ b/internal/control/lwjob/spec.go
@@ -50,10 +50,12 @@
 	Interval lwunit.Millis     `json:"interval,omitempty"` // time between occurrences
 }
 
+// MaxSteps is the largest number of steps of a job.
+const MaxSteps = 256
+
 const (
 	maxTextBytes = 4000 // of Spec.Text
 	maxIDBytes   = 128
-	maxSteps     = 256
 	maxTasks     = 20000 // of one occurrence
 	maxAllTasks  = 50000 // of all occurrences; each leader keeps them in memory
 )
@@ -70,8 +72,8 @@
 		return lwfault.New(lwfault.Invalid, "job id %.*q is empty, contains a dot or a slash, or has more than %d bytes", maxIDBytes, s.ID, maxIDBytes)
 	case len(s.Text) > maxTextBytes:
 		return lwfault.New(lwfault.Invalid, "the specification has %d bytes; the limit is %d", len(s.Text), maxTextBytes)
-	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
-		return lwfault.New(lwfault.Invalid, "a job must have 1 to %d steps", maxSteps)
+	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
+		return lwfault.New(lwfault.Invalid, "a job must have 1 to %d steps", MaxSteps)
 	case s.Repeats > 0 && s.Interval <= 0 && s.Repeats > 1:
 		return lwfault.New(lwfault.Invalid, "a recurring job must have an interval greater than 0")
 	}
--- a/internal/net/lwrpc/endpoint_test.go
+++ b/internal/net/lwrpc/endpoint_test.go
@@ -83,14 +83,15 @@
 	e := serve(t)
 	good := dial(t, e, testKey)
 	cases := map[string][]byte{
-		"no hello":         frame(`{"jsonrpc":"2.0","id":1,"method":"double","params":{"n":1}}`),
-		"not JSON":         frame(`{{{{`),
-		"frame too large":  {0xff, 0xff, 0xff, 0xff, 'x'},
-		"empty frame":      {0, 0, 0, 0},
-		"hello, no key":    frame(`{"jsonrpc":"2.0","id":1,"method":"hello","params":[]}`),
-		"not a request":    frame(`[1,2,3]`),
-		"HTTP request":     []byte("GET / HTTP/1.1\r\n\r\n"),
-		"hello, wrong key": frame(`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"key":"old"}}`),
+		"no hello":          frame(`{"jsonrpc":"2.0","id":1,"method":"double","params":{"n":1}}`),
+		"not JSON":          frame(`{{{{`),
+		"long before hello": append([]byte{0, 0x7f, 0xff, 0xff}, make([]byte, maxBytesBeforeHello)...),
+		"frame too large":   {0xff, 0xff, 0xff, 0xff, 'x'},
+		"empty frame":       {0, 0, 0, 0},
+		"hello, no key":     frame(`{"jsonrpc":"2.0","id":1,"method":"hello","params":[]}`),
+		"not a request":     frame(`[1,2,3]`),
+		"HTTP request":      []byte("GET / HTTP/1.1\r\n\r\n"),
+		"hello, wrong key":  frame(`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"key":"old"}}`),
 	}
 	for name, data := range cases {
 		t.Run(name, func(t *testing.T) {
