Correct the test of recorded cancellations

Change: the old records come first, as they do in a running system. TestAcceptAfterCancellation guards the check where a submission is committed, which that of the leader masks in other tests.

Measured: both pass; with the bound, the check of the id, the removal or the check at the commit taken out, one of them fails.

--- a/internal/control/lwcontrol/queue_test.go
+++ b/internal/control/lwcontrol/queue_test.go
@@ -222,17 +222,17 @@
 		r.read(func(s *lwstate.State) { rev = s.Revision() })
 		return rev
 	}
+	r.mu.Lock()
+	for i := range lwjob.MaxCancellations - 1 {
+		_, _ = r.state.Queues().Cancel(lwconfig.QueueKey{Host: "h", Prefix: "/a/"}, lwunit.JobID(fmt.Sprint(i)), 1)
+	}
+	r.mu.Unlock()
 	is.Equal(lwfault.KindOf(cancelTestJob(t, n, r, "/a/j")), lwfault.Expired)
 	once := revision()
 	for _, path := range []string{"/a/j", "/a/", "/a/x.y", "/a/" + strings.Repeat("x", 1<<16)} {
 		is.Equal(lwfault.KindOf(cancelTestJob(t, n, r, path)), lwfault.Expired)
 	}
 	is.Equal(revision(), once) // neither a second cancellation nor one of an impossible id is recorded
-	r.mu.Lock()
-	for i := range lwjob.MaxCancellations {
-		_, _ = r.state.Queues().Cancel(lwconfig.QueueKey{Host: "h", Prefix: "/a/"}, lwunit.JobID(fmt.Sprint(i)), 1)
-	}
-	r.mu.Unlock()
 	is.Equal(lwfault.KindOf(cancelTestJob(t, n, r, "/a/k")), lwfault.Overloaded)
 	is.Equal(revision(), once)
 	is.NoErr(submitTestJob(t, n, r, "/a/k"))
--- a/internal/control/lwjob/table_test.go
+++ b/internal/control/lwjob/table_test.go
@@ -189,3 +189,28 @@
 	fmt.Println(id, key, err)
 	// Output: 5c0e7a21d94b36f8 0.1.17 <nil>
 }
+
+// Guards against a job that is accepted after its cancellation: its submission was checked before the
+// cancellation and committed after it, also where the replica has started from a snapshot in between.
+func TestAcceptAfterCancellation(t *testing.T) {
+	is := is.New(t)
+	table := lwjob.NewTable()
+	queue := lwconfig.QueueKey{Host: "h", Prefix: "/a/"}
+	known, err := table.Cancel(queue, "j", 5)
+	is.NoErr(err)
+	is.True(!known)
+	data, err := json.Marshal(table.Contents())
+	is.NoErr(err)
+	var c lwjob.Contents
+	is.NoErr(json.Unmarshal(data, &c))
+	late := job(lwjob.Step{Count: 1})
+	late.Spec.Queue = queue
+	for _, x := range []*lwjob.Table{table, lwjob.Restore(c)} {
+		is.True(!x.Accept(late))
+		is.True(x.Job("j") == nil)
+		x.RemoveJobs(5)
+		is.True(x.CancelledBefore(queue, "j"))
+		x.RemoveJobs(6)
+		is.True(x.Accept(late)) // the record has ended
+	}
+}
