Make the memory for callers a setting, and shorten what lines keep of a request

Cause: the limit of callers' memory followed from memory_limit also off a provider's machines, where it is a soft limit of 48 MiB: one body of 4 MiB would have had its connection closed. Connections had a limit of 4,096 also where a server allows 8,192. Lines of the log and errors held whole paths, up to 64 KiB each.

Change: caller_memory, 512 MiB, on a provider's machines a sixth of memory_limit. Connections that are to close count as open until they have closed. Paths, hosts and ids in lines and errors have at most 256 bytes.

--- a/internal/base/lwsetting/setting.go
+++ b/internal/base/lwsetting/setting.go
@@ -29,6 +29,9 @@
 	defaultStopTime    = lwunit.Duration(30 * time.Second)
 	defaultDrainDelay  = lwunit.Duration(2 * time.Second)
 	defaultMemoryLimit = 48 * lwunit.MiB
+
+	defaultCallerMemory = 512 * lwunit.MiB
+	hostedCallerShare   = 6 // part of the memory limit that callers of a hosted process may take
 )
 
 // Settings holds the settings of one process. The process runs each of the
@@ -44,6 +47,11 @@
 	LogLevel         string               `json:"log_level"`         // debug, info, warn or error
 	MemoryLimit      lwunit.Bytes         `json:"memory_limit"`      // soft memory limit of the Go runtime; on a provider's machines the hard limit of the process
 
+	// CallerMemory is what callers of all HTTP servers of the process may make it hold for their
+	// requests, answers and connections. The default is 512 MiB; on a provider's machines it
+	// is a sixth of MemoryLimit.
+	CallerMemory lwunit.Bytes `json:"caller_memory,omitempty"`
+
 	Entry   *Entry   `json:"entry,omitempty"`
 	Agent   *Agent   `json:"agent,omitempty"`
 	Replica *Replica `json:"control,omitempty"`
@@ -161,6 +169,9 @@
 		s.Entry.DrainDelay = defaultDrainDelay
 	}
 	s.key = s.InlineClusterKey
+	if s.CallerMemory == 0 {
+		s.CallerMemory = s.defaultCallerMemory()
+	}
 	if s.Hosted != nil {
 		s.ControlAddresses = s.Hosted.ControlAddresses()
 	}
@@ -265,6 +276,8 @@
 		return "stop_time", "stop_time must be over 0"
 	case s.MemoryLimit < 16*lwunit.MiB:
 		return "memory_limit", "memory_limit must be at least 16MiB"
+	case s.CallerMemory < lwunit.MiB:
+		return "caller_memory", "caller_memory must be at least 1MiB"
 	}
 	if !isLogLevel(s.LogLevel) {
 		return "log_level", "log_level must be debug, info, warn or error"
@@ -358,3 +371,10 @@
 	}
 	return append(data, '\n'), nil
 }
+
+func (s *Settings) defaultCallerMemory() lwunit.Bytes {
+	if s.Hosted != nil {
+		return s.MemoryLimit / hostedCallerShare
+	}
+	return defaultCallerMemory
+}
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -36,7 +36,6 @@
 	gcPercent        = 50  // heap growth between collections, percent
 	hostedGCPercent  = 200 // as gcPercent, for hosted processes
 	hostedLimitShare = 0.6 // share of the provider's memory limit that the Go runtime may use
-	callerShare      = 6   // part of the memory limit that callers of all servers may take
 )
 
 // Options holds what tests and benchmarks configure in addition to the settings.
@@ -129,8 +128,8 @@
 // the Go runtime. A provider's limit is hard and also counts memory that the runtime
 // does not, such as the kernel's, so hosted processes stay well below it.
 func limitMemory(s lwsetting.Settings) {
-	if s.MemoryLimit > 0 {
-		lwhttp.LimitCallerMemory(s.MemoryLimit / callerShare)
+	if s.CallerMemory > 0 { // else the default of lwhttp
+		lwhttp.LimitCallerMemory(s.CallerMemory)
 	}
 	if s.Hosted == nil {
 		debug.SetMemoryLimit(int64(s.MemoryLimit))
--- a/internal/control/lwcontrol/queue.go
+++ b/internal/control/lwcontrol/queue.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
+	"lavenderweir.example/lavenderweir/internal/base/lwlog"
 	"lavenderweir.example/lavenderweir/internal/base/lwmetric"
 	"lavenderweir.example/lavenderweir/internal/base/lwunit"
 	"lavenderweir.example/lavenderweir/internal/control/lwconfig"
@@ -83,7 +84,7 @@
 	}
 	q, ok := doc.Find(target.Host, target.Path)
 	if !ok {
-		return q, "", lwfault.New(lwfault.NotFound, "no queue for host %q and path %q", target.Host, target.Path)
+		return q, "", lwfault.New(lwfault.NotFound, "no queue for host %q and path %q", lwlog.Shorten(target.Host), lwlog.Shorten(target.Path))
 	}
 	return q, lwunit.JobID(target.Path[len(q.Key.Prefix):]), nil
 }
@@ -133,7 +134,7 @@
 	}
 	jobsRefused.Add(1)
 	f := lwfault.As(err)
-	n.decisionLog.Info(string(lwdispatch.DecidedAdmission), zap.String("path", target.Path), zap.String("outcome", string(f.Kind)), zap.String("reason", f.Detail))
+	n.decisionLog.Info(string(lwdispatch.DecidedAdmission), zap.String("path", lwlog.Shorten(target.Path)), zap.String("outcome", string(f.Kind)), zap.String("reason", f.Detail))
 	return err
 }
 
@@ -298,7 +299,7 @@
 }
 
 func unknownJob(id lwunit.JobID) error {
-	return lwfault.New(lwfault.Expired, "job %s does not exist", id)
+	return lwfault.New(lwfault.Expired, "job %s does not exist", lwlog.Shorten(string(id)))
 }
 
 func (n *Node) configure(ctx context.Context, r *replica, _ *lwrpc.Session, d lwconfig.Document) (empty, error) {
--- a/internal/entry/lwintake/intake.go
+++ b/internal/entry/lwintake/intake.go
@@ -87,7 +87,7 @@
 		if r.Method == http.MethodGet && recorder.status == http.StatusOK {
 			return
 		}
-		in.requestLog.Info("request", zap.String("method", r.Method), zap.String("path", r.URL.Path), zap.Int("status", recorder.status),
+		in.requestLog.Info("request", zap.String("method", r.Method), zap.String("path", lwlog.Shorten(r.URL.Path)), zap.Int("status", recorder.status),
 			zap.String("retry_after", recorder.Header().Get("Retry-After")), zap.Duration("took", took), zap.Duration("leader_age", in.leaderAge()))
 	})
 }
--- a/internal/net/lwhttp/account.go
+++ b/internal/net/lwhttp/account.go
@@ -1,6 +1,8 @@
 package lwhttp
 
 import (
+	"maps"
+	"math"
 	"sync"
 	"syscall"
 	"time"
@@ -10,7 +12,7 @@
 )
 
 const (
-	defaultCallerMemory = 64 * lwunit.MiB
+	defaultCallerMemory = 512 * lwunit.MiB
 	descriptorShare     = 0.75 // of the process's descriptors that connections of callers may take
 	idleCandidates      = 64   // connections among which the one is sought that has been idle longest
 
@@ -33,13 +35,16 @@
 	mu       sync.Mutex
 	maxBytes int64
 	maxConns int
-	open     int                   // connections, with those that are to close
 	bytes    int64                 // sum of costs
 	costs    map[*connection]int64 // of each open connection
+	closing  map[*connection]bool  // that were told to close
 }
 
 // callers is the account of this process.
-var callers = &account{maxBytes: int64(defaultCallerMemory), maxConns: maxConnections(), costs: make(map[*connection]int64)}
+var callers = &account{
+	maxBytes: int64(defaultCallerMemory), maxConns: maxConnections(),
+	costs: make(map[*connection]int64), closing: make(map[*connection]bool),
+}
 
 // LimitCallerMemory sets the memory, in bytes, that callers of all servers of this process
 // can make it use for their requests, answers and connections. Beyond it the connection that
@@ -57,14 +62,13 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return defaultMaxConns
 	}
-	return int(min(defaultMaxConns, descriptorShare*float64(limit.Cur)))
+	return int(min(math.MaxInt32, descriptorShare*float64(limit.Cur)))
 }
 
 // add counts a new connection. Beyond the limit it closes one that has been idle for long, or
 // the new one if each of some others is in use.
 func (a *account) add(c *connection) {
 	a.mu.Lock()
-	a.open++
 	a.set(c, connectionCost)
 	full := len(a.costs) > a.maxConns
 	var sample []*connection
@@ -86,9 +90,12 @@
 			victim, since = other, at
 		}
 	}
-	a.remove(victim)
-	httpConnectionLimitCloses.Add(1)
-	victim.closeLater()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, open := a.costs[victim]; open {
+		httpConnectionLimitCloses.Add(1)
+		a.close(victim)
+	}
 }
 
 // charge updates the cost of a connection. Beyond the limit it closes the one with the
@@ -110,32 +117,42 @@
 		if victim == nil {
 			return
 		}
-		a.forget(victim)
 		httpMemoryLimitCloses.Add(1)
-		victim.closeLater()
+		a.close(victim)
 	}
 }
 
-// remove stops counting a connection that is to close.
-func (a *account) remove(c *connection) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.forget(c)
-}
-
 // closed notes that a connection has closed.
 func (a *account) closed(c *connection) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.open--
 	a.forget(c)
+	delete(a.closing, c)
 }
 
 // crowded reports whether connections have to close before others are accepted.
 func (a *account) crowded() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.open > a.maxConns
+	return a.connections() > a.maxConns
+}
+
+// connections returns the number of connections that take a descriptor. The caller holds mu.
+func (a *account) connections() int {
+	if len(a.costs)+len(a.closing) > a.maxConns {
+		maps.DeleteFunc(a.closing, func(c *connection, _ bool) bool {
+			closed, _ := c.nbc.IsClosed()
+			return closed
+		})
+	}
+	return len(a.costs) + len(a.closing)
+}
+
+// close closes a connection and stops counting its memory. The caller holds mu.
+func (a *account) close(c *connection) {
+	a.forget(c)
+	a.closing[c] = true
+	c.closeLater()
 }
 
 // set and forget require mu.
--- a/internal/net/lwhttp/export_test.go
+++ b/internal/net/lwhttp/export_test.go
@@ -24,5 +24,5 @@
 func OpenConnections() int {
 	callers.mu.Lock()
 	defer callers.mu.Unlock()
-	return callers.open
+	return callers.connections()
 }
--- a/internal/net/lwhttp/receive_test.go
+++ b/internal/net/lwhttp/receive_test.go
@@ -155,7 +155,7 @@
 	eventually(t, "the connections of other tests have closed", func() bool { return lwhttp.OpenConnections() == 0 })
 	is.Equal(lwhttp.CallerBytes(), int64(0))
 	lwhttp.LimitCallerMemory(lwunit.MiB)
-	t.Cleanup(func() { lwhttp.LimitCallerMemory(64 * lwunit.MiB) })
+	t.Cleanup(func() { lwhttp.LimitCallerMemory(512 * lwunit.MiB) })
 	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(ok)})
 	ordinary, heavy := dial(t, s), dial(t, s)
 	go func() {
