Send the orders for a worker in several messages

Cause: the starts of a round for one worker were one message, each with the specification of its job. Beyond the frame limit of 8 MiB it was never sent, and the same orders were sent again in one message.

Change: orders are sent in messages of about 1 MiB.

--- a/internal/control/lwcontrol/dispatch.go
+++ b/internal/control/lwcontrol/dispatch.go
@@ -25,7 +25,9 @@
 	jobRemovalInterval         = 20 * time.Second
 	interferenceRecordInterval = time.Second
 	ordersTimeout              = 500 * time.Millisecond
-	maxRunsRecorded            = 4096 // ends and placements in one command
+	maxRunsRecorded            = 4096    // ends and placements in one command
+	maxOrderBytes              = 1 << 20 // of the orders in one message, before they are escaped as JSON
+	orderOverheadBytes         = 100
 )
 
 var (
@@ -276,16 +278,32 @@
 	}
 	token, cursor := d.core.TokenAndCursor(o.Incarnation)
 	m := lwlink.AgentOrders{Incarnation: o.Incarnation, Token: token, Cursor: cursor, Capacity: d.core.CapacityOf(o.Incarnation)}
-	for _, x := range o.Orders {
-		m.Orders = append(m.Orders, lwlink.EncodeOrder(x))
-	}
 	call, cancel := context.WithTimeout(ctx, ordersTimeout)
 	defer cancel()
-	if err := session.Notify(call, lwlink.MethodOrders, m); err != nil {
-		ordersUnsent.Add(int64(len(o.Orders)))
-		return
+	for unsent := o.Orders; len(unsent) > 0; {
+		m.Orders, unsent = encodeOrders(unsent, maxOrderBytes)
+		if err := session.Notify(call, lwlink.MethodOrders, m); err != nil {
+			ordersUnsent.Add(int64(len(m.Orders) + len(unsent)))
+			return
+		}
+		ordersSent.Add(int64(len(m.Orders)))
+	}
+}
+
+// encodeOrders encodes orders for one message until their texts have at least maxBytes, and
+// returns the others. A start holds the specification of its job, so that those of a large
+// job can exceed the limit of a message together.
+func encodeOrders(orders []lwdispatch.Order, maxBytes int) (encoded []lwlink.WireOrder, rest []lwdispatch.Order) {
+	size := 0
+	for i, x := range orders {
+		if size >= maxBytes {
+			return encoded, orders[i:]
+		}
+		w := lwlink.EncodeOrder(x)
+		encoded = append(encoded, w)
+		size += len(w.Task) + len(w.Text) + len(w.Checkpoint) + len(w.Ticket) + orderOverheadBytes
 	}
-	ordersSent.Add(int64(len(o.Orders)))
+	return encoded, nil
 }
 
 func logDecision(log *lwlog.RateLimitedLogger, x lwdispatch.Decision) {
