--- a/internal/base/lwsetting/hosted_test.go
+++ b/internal/base/lwsetting/hosted_test.go
@@ -60,3 +60,19 @@
 		})
 	}
 }
+
+// Guards against a process on a provider's machine whose callers may take as much memory as off it.
+func TestCallerLimit(t *testing.T) {
+	for name, x := range map[string]struct {
+		settings Settings
+		want     lwunit.Bytes
+	}{
+		"stated":                   {Settings{CallerMemory: lwunit.GiB, Hosted: &Hosted{}}, lwunit.GiB},
+		"on a provider's machines": {Settings{MemoryLimit: 152 * lwunit.MiB, Hosted: &Hosted{}}, 152 * lwunit.MiB / 6},
+		"otherwise":                {Settings{MemoryLimit: 48 * lwunit.MiB}, 512 * lwunit.MiB},
+	} {
+		if got := x.settings.CallerLimit(); got != x.want {
+			t.Errorf("%s: %d bytes, want %d", name, got, x.want)
+		}
+	}
+}
--- a/internal/base/lwsetting/setting.go
+++ b/internal/base/lwsetting/setting.go
@@ -48,8 +48,7 @@
 	MemoryLimit      lwunit.Bytes         `json:"memory_limit"`      // soft memory limit of the Go runtime; on a provider's machines the hard limit of the process
 
 	// CallerMemory is what callers of all HTTP servers of the process may make it hold for their
-	// requests, answers and connections. The default is 512 MiB; on a provider's machines it
-	// is a sixth of MemoryLimit.
+	// requests, answers and connections; 0 is 512 MiB, on a provider's machines a sixth of MemoryLimit.
 	CallerMemory lwunit.Bytes `json:"caller_memory,omitempty"`
 
 	Entry   *Entry   `json:"entry,omitempty"`
@@ -169,9 +168,6 @@
 		s.Entry.DrainDelay = defaultDrainDelay
 	}
 	s.key = s.InlineClusterKey
-	if s.CallerMemory == 0 {
-		s.CallerMemory = s.defaultCallerMemory()
-	}
 	if s.Hosted != nil {
 		s.ControlAddresses = s.Hosted.ControlAddresses()
 	}
@@ -276,7 +272,7 @@
 		return "stop_time", "stop_time must be over 0"
 	case s.MemoryLimit < 16*lwunit.MiB:
 		return "memory_limit", "memory_limit must be at least 16MiB"
-	case s.CallerMemory < lwunit.MiB:
+	case s.CallerMemory != 0 && s.CallerMemory < lwunit.MiB:
 		return "caller_memory", "caller_memory must be at least 1MiB"
 	}
 	if !isLogLevel(s.LogLevel) {
@@ -372,9 +368,14 @@
 	return append(data, '\n'), nil
 }
 
-func (s *Settings) defaultCallerMemory() lwunit.Bytes {
-	if s.Hosted != nil {
+// CallerLimit returns CallerMemory or its default.
+func (s Settings) CallerLimit() lwunit.Bytes {
+	switch {
+	case s.CallerMemory > 0:
+		return s.CallerMemory
+	case s.Hosted != nil:
 		return s.MemoryLimit / hostedCallerShare
+	default:
+		return defaultCallerMemory
 	}
-	return defaultCallerMemory
 }
--- a/internal/command/lwnode/node.go
+++ b/internal/command/lwnode/node.go
@@ -128,9 +128,7 @@
 // the Go runtime. A provider's limit is hard and also counts memory that the runtime
 // does not, such as the kernel's, so hosted processes stay well below it.
 func limitMemory(s lwsetting.Settings) {
-	if s.CallerMemory > 0 { // else the default of lwhttp
-		lwhttp.LimitCallerMemory(s.CallerMemory)
-	}
+	lwhttp.LimitCallerMemory(s.CallerLimit())
 	if s.Hosted == nil {
 		debug.SetMemoryLimit(int64(s.MemoryLimit))
 		debug.SetGCPercent(gcPercent)
