Report as written what the handler wrote

Callers of answers of 64 KiB and more with a Content-Length could wait for a rest that never came.

Cause: nbhttp reports the bytes that it sends at that moment, with what it had buffered, as written. io.Copy takes more bytes than it passed for an error and ends.

Change: a write reports at most what it was given.

--- a/internal/net/lwhttp/answer_test.go
+++ b/internal/net/lwhttp/answer_test.go
@@ -81,3 +81,31 @@
 		is.New(t).NoErr(err)
 	}
 }
+
+// Guards against an answer that is cut off because more bytes are reported as written than the handler
+// wrote: nbhttp reports what it sends at that moment, with what it had buffered.
+func TestWriteReportsWhatTheHandlerWrote(t *testing.T) {
+	const total, part = 1 << 20, 32 << 10
+	wrong := make(chan int, total/part)
+	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(total))
+		if r.URL.Path == "/copied" {
+			_, _ = io.Copy(w, strings.NewReader(strings.Repeat("x", total)))
+			return
+		}
+		for range total / part {
+			if n, err := io.WriteString(w, strings.Repeat("x", part)); n != part || err != nil {
+				wrong <- n
+			}
+		}
+	})})
+	for _, path := range []string{"/written", "/copied"} {
+		is.New(t).NoErr(exchange(s.Address(), 3, func(int) (sent, want string) {
+			return "GET " + path + " HTTP/1.1\r\n\r\n", strings.Repeat("x", total)
+		}))
+	}
+	close(wrong)
+	for n := range wrong {
+		t.Errorf("%d bytes are reported as written, of %d", n, part)
+	}
+}
--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -409,6 +409,7 @@
 			w.flushBefore(len(part))
 		}
 		n, err := w.Response.Write(part)
+		n = min(n, len(part)) // nbhttp also counts what it had buffered
 		written += n
 		w.writtenBytes += n
 		if err != nil {
