Show that each guard of a connection that is held back is needed

Taken out on a scratch copy, the limit of requests in service and that of unread answers were not missed by any test of lwhttp: the queue of a handler's answer masked both. TestRequestsBehindASlowOneStayInTheSocket and answers without a body fail without them now; no product code changes.

--- a/internal/net/lwhttp/receive_test.go
+++ b/internal/net/lwhttp/receive_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -142,35 +143,72 @@
 // Guards against a caller that sends ahead and reads nothing, for which the process keeps all requests
 // and answers. It is served on once it reads.
 func TestCallerThatDoesNotReadIsHeldBack(t *testing.T) {
+	long := strings.Repeat("x", 16<<10)
+	for name, x := range map[string]struct {
+		requests int
+		answer   string
+	}{
+		"answers of 16 KiB":      {6000, long},
+		"answers without a body": {300000, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var served atomic.Int64
+			s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				served.Add(1)
+				if x.answer != "" {
+					_, _ = io.WriteString(w, x.answer)
+				}
+			})})
+			c := dial(t, s)
+			go func() { _, _ = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\n\r\n", x.requests)) }()
+			before := int64(-1)
+			eventually(t, "the caller is held back", func() bool {
+				now := served.Load()
+				held := now > 0 && now == before
+				before = now
+				time.Sleep(200 * time.Millisecond)
+				return held
+			})
+			is.True(served.Load() < int64(x.requests))
+			in := bufio.NewReader(c)
+			for range x.requests {
+				_ = c.SetReadDeadline(time.Now().Add(waitLimit))
+				res, err := http.ReadResponse(in, nil)
+				is.NoErr(err)
+				n, err := io.Copy(io.Discard, res.Body)
+				is.NoErr(err)
+				is.Equal(n, int64(len(x.answer)))
+			}
+			is.Equal(served.Load(), int64(x.requests))
+		})
+	}
+}
+
+// Guards against requests that are read and kept while an earlier one of their caller is served.
+func TestRequestsBehindASlowOneStayInTheSocket(t *testing.T) {
 	is := is.New(t)
-	const requests, answerBytes = 6000, 16 << 10
-	var served atomic.Int64
-	answer := strings.Repeat("x", answerBytes)
-	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		served.Add(1)
-		_, _ = io.WriteString(w, answer)
+	const requests, allowed = 20000, 100 << 10
+	eventually(t, "the connections of other tests have closed", func() bool { return lwhttp.OpenConnections() == 0 })
+	release := make(chan struct{})
+	var once sync.Once
+	began := make(chan struct{})
+	s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		once.Do(func() { close(began) })
+		<-release
 	})})
 	c := dial(t, s)
 	go func() { _, _ = io.WriteString(c, strings.Repeat("GET / HTTP/1.1\r\n\r\n", requests)) }()
-	before := int64(-1)
-	eventually(t, "the caller is held back", func() bool {
-		now := served.Load()
-		held := now > 0 && now == before
-		before = now
-		time.Sleep(200 * time.Millisecond)
-		return held
-	})
-	is.True(served.Load() < requests)
+	<-began
+	time.Sleep(100 * time.Millisecond)
+	is.True(lwhttp.CallerBytes() <= allowed)
+	close(release)
 	in := bufio.NewReader(c)
 	for range requests {
-		_ = c.SetReadDeadline(time.Now().Add(waitLimit))
 		res, err := http.ReadResponse(in, nil)
 		is.NoErr(err)
-		n, err := io.Copy(io.Discard, res.Body)
-		is.NoErr(err)
-		is.Equal(n, int64(answerBytes))
+		is.NoErr(res.Body.Close())
 	}
-	is.Equal(served.Load(), int64(requests))
 }
 
 // Guards against a request that is carried out although its caller has left before it was read: nobody
