Count a long-running task for a suspected worker only

A worker that begins to fail what it starts was suspected later.

Change: a long-running task takes a suspected worker back; it changes nothing for a trusted one.

A new subtest of TestRunThatProvesNothingLeavesItsWorkerOnProbes fails without the change.

--- a/internal/control/lwdispatch/health.go
+++ b/internal/control/lwdispatch/health.go
@@ -76,8 +76,9 @@
 }
 
 // observeLongRunning counts each long-running task that stays at work as a success of its
-// worker, since the run may never end. A run from before the last suspicion tells nothing of
-// what the worker starts now. The lists of the worker are listsAge old.
+// worker, since the run may never end. It takes a suspected worker back if the run began after the
+// suspicion; an earlier run tells nothing of what the worker starts now, so the failures of a trusted
+// worker count on. The lists of the worker are listsAge old.
 func (c *Core) observeLongRunning(w *worker, listsAge time.Duration) {
 	for _, r := range w.sortedRuns() {
 		if r.proven || r.adopted || r.phase != runListed || !r.task.step.spec.LongRunning || r.status.Progress < fullPercent {
@@ -91,7 +92,7 @@
 			c.speedModel(w).AddOutcome(c.now, false, 1)
 			c.updateSpeed(w)
 		}
-		if r.orderedAt >= w.health.suspectedAt {
+		if w.health.suspicions > 0 && r.orderedAt >= w.health.suspectedAt {
 			c.recordSuccess(w)
 		}
 	}
--- a/internal/control/lwdispatch/health_test.go
+++ b/internal/control/lwdispatch/health_test.go
@@ -131,4 +131,23 @@
 			t.Error("a run from before the suspicion takes the worker back")
 		}
 	})
+	t.Run("one that began before the worker failed others", func(t *testing.T) {
+		f := newFixture(t)
+		f.join(workerInfo("w1", 64))
+		for i := range 2 {
+			f.submit(fmt.Sprint("j", i), tasks(1, 1, time.Second))
+		}
+		f.submit("old", longRunning(1))
+		for _, s := range f.startAll("w1") {
+			if s.Task != "old.0.0.0" {
+				f.endRun("w1", s, lwjob.EndFailed)
+			}
+		}
+		f.setProgress("w1", fullPercent)
+		f.advance(2 * time.Second)
+		f.report("w1")
+		if n := len(f.core.workers[f.infos["w1"].Incarnation].health.failedJobs); n != 2 {
+			t.Errorf("%d failed jobs are counted after a long-running task has stayed at work, want 2", n)
+		}
+	})
 }
