Give a worker that keeps long-running tasks at work only such tasks

Cause: a long-running task that stays at work took a suspected worker back for all tasks. A worker that fails tasks that end and keeps long-running ones at work was filled again and again, and its pauses began anew.

Change: such a task ends the probes for long-running tasks only.

TestLongRunningTaskProvesNothingForTasksThatEnd guards both forms; TestLongRunningTaskThatStaysAtWorkEndsProbes (renamed) and the others pass.

--- a/internal/control/lwdispatch/health.go
+++ b/internal/control/lwdispatch/health.go
@@ -22,6 +22,8 @@
 	suspectedAt time.Duration // when it was last suspected
 	failureAge  time.Duration // of the failed run that lasted longest since the worker was last trusted
 
+	runsLongRunning bool // a long-running task that was started since the last suspicion has stayed at work
+
 	timesTakenBack int // in a row, each within flapMemory of the one before
 	takenBackAt    time.Duration
 }
@@ -66,19 +68,19 @@
 }
 
 // maxProvingTime is how long a long-running task must be at work at most to show that its
-// worker is sound. Tasks that wait for the worker have nothing running in the meantime.
+// worker runs such tasks. Tasks that wait for the worker have nothing running in the meantime.
 const maxProvingTime = 3 * time.Second
 
 // provingTime returns how long a long-running task must be at work on a worker to show that
-// the worker is sound: clearly longer than the runs that failed there.
+// the worker runs such tasks: clearly longer than the runs that failed there.
 func (c *Core) provingTime(w *worker) time.Duration {
 	return min(max(c.cfg.SuspicionPause, 2*w.health.failureAge), maxProvingTime)
 }
 
 // observeLongRunning counts each long-running task that stays at work as a success of its
-// worker, since the run may never end. It takes a suspected worker back if the run began after the
-// suspicion; an earlier run tells nothing of what the worker starts now, so the failures of a trusted
-// worker count on. The lists of the worker are listsAge old.
+// worker, since the run may never end. If it began after the last suspicion, the worker is given
+// other long-running tasks; for tasks that end it is probed on, since it may still fail these. The
+// lists of the worker are listsAge old.
 func (c *Core) observeLongRunning(w *worker, listsAge time.Duration) {
 	for _, r := range w.sortedRuns() {
 		if r.proven || r.adopted || r.phase != runListed || !r.task.step.spec.LongRunning || r.status.Progress < fullPercent {
@@ -92,8 +94,9 @@
 			c.speedModel(w).AddOutcome(c.now, false, 1)
 			c.updateSpeed(w)
 		}
-		if w.health.suspicions > 0 && r.orderedAt >= w.health.suspectedAt {
-			c.recordSuccess(w)
+		if h := &w.health; h.suspicions > 0 && r.orderedAt >= h.suspectedAt && !h.runsLongRunning {
+			h.runsLongRunning = true
+			c.logDecision(Decision{Kind: DecidedTakenBack, Worker: w.info.Incarnation.Worker, Reason: "for long-running tasks, one of which stays at work"})
 		}
 	}
 }
@@ -125,29 +128,30 @@
 	pause := min(c.cfg.SuspicionPause<<min(h.suspicions+c.recentFlaps(h), 4), maxSuspicionPause)
 	h.suspicions++
 	h.suspectedAt = c.now
+	h.runsLongRunning = false
 	h.pausedUntil = c.now + pause
 	h.probing = false
 	h.failedJobs = nil
 	c.logDecision(Decision{Kind: DecidedSuspect, Worker: w.info.Incarnation.Worker, Reason: reason})
 }
 
-// trusted reports whether a worker may be given a task now. After a suspicion it is
-// probed with one task in each SuspicionPause until a task is done, or a long-running one
-// stays at work.
-func (c *Core) trusted(w *worker) bool {
+// trusted reports whether a worker may be given a task of a step now. After a suspicion it is
+// probed with one task in each SuspicionPause until a task is done. Long-running tasks, which
+// are never done, need no probes once one of them stays at work.
+func (c *Core) trusted(s *step, w *worker) bool {
 	h := &w.health
 	if c.now < h.pausedUntil {
 		return false
 	}
-	if h.suspicions == 0 {
+	if h.suspicions == 0 || s.spec.LongRunning && h.runsLongRunning {
 		return true
 	}
 	return !h.probing || c.now-h.probedAt >= c.cfg.SuspicionPause
 }
 
-// recordProbe marks a start on a suspected worker as its probe.
-func (c *Core) recordProbe(w *worker) {
-	if w.health.suspicions > 0 {
+// recordProbe marks a start on a suspected worker as its probe, if it needs one for the step.
+func (c *Core) recordProbe(s *step, w *worker) {
+	if w.health.suspicions > 0 && (!s.spec.LongRunning || !w.health.runsLongRunning) {
 		w.health.probing = true
 		w.health.probedAt = c.now
 	}
--- a/internal/control/lwdispatch/health_test.go
+++ b/internal/control/lwdispatch/health_test.go
@@ -75,7 +75,7 @@
 
 // Guards against long-running tasks that are started one a second on a worker that is sound again,
 // since only the end of a task took it back.
-func TestLongRunningTaskThatStaysAtWorkTakesItsWorkerBack(t *testing.T) {
+func TestLongRunningTaskThatStaysAtWorkEndsProbes(t *testing.T) {
 	t.Run("without load control", func(t *testing.T) {
 		f := suspectedFixture(t, DefaultConfig(), 100*time.Millisecond)
 		f.setProgress("w1", fullPercent)
@@ -83,7 +83,7 @@
 			t.Errorf("3 s after the probe began %d of 24 tasks run", n)
 		}
 	})
-	t.Run("with load control, which fills it gradually", func(t *testing.T) {
+	t.Run("with load control", func(t *testing.T) {
 		cfg := DefaultConfig()
 		cfg.LoadControl = true
 		f := suspectedFixture(t, cfg, 100*time.Millisecond)
@@ -96,7 +96,7 @@
 
 // Guards against a worker that is taken back by runs that tell nothing of it.
 func TestRunThatProvesNothingLeavesItsWorkerOnProbes(t *testing.T) {
-	suspected := func(f *fixture) bool { return f.core.workers[f.infos["w1"].Incarnation].health.suspicions > 0 }
+	suspected := func(f *fixture) bool { return !f.core.workers[f.infos["w1"].Incarnation].health.runsLongRunning }
 	t.Run("one that has run no longer than those that failed", func(t *testing.T) {
 		f := suspectedFixture(t, DefaultConfig(), 900*time.Millisecond)
 		f.setProgress("w1", fullPercent)
@@ -131,7 +131,21 @@
 			t.Error("a run from before the suspicion takes the worker back")
 		}
 	})
-	t.Run("one that began before the worker failed others", func(t *testing.T) {
+}
+
+// Guards against a worker that is given all tasks again because its long-running ones stay at work, while
+// it fails those that end.
+func TestLongRunningTaskProvesNothingForTasksThatEnd(t *testing.T) {
+	t.Run("on a suspected worker", func(t *testing.T) {
+		f := suspectedFixture(t, DefaultConfig(), 100*time.Millisecond)
+		f.setProgress("w1", fullPercent)
+		f.running("w1", 3*time.Second)
+		f.submit("ends", tasks(4, 1, time.Second))
+		if n := len(f.startAll("w1")); n != 1 {
+			t.Errorf("%d tasks that end are started at once, want one as a probe", n)
+		}
+	})
+	t.Run("on a worker that has begun to fail", func(t *testing.T) {
 		f := newFixture(t)
 		f.join(workerInfo("w1", 64))
 		for i := range 2 {
--- a/internal/control/lwdispatch/place.go
+++ b/internal/control/lwdispatch/place.go
@@ -230,7 +230,7 @@
 	if _, apart := c.onProbation(w); apart {
 		return false
 	}
-	return c.trusted(w) && c.withinSpeedShare(s, w)
+	return c.trusted(s, w) && c.withinSpeedShare(s, w)
 }
 
 // taskCount returns the number of runs of a step that may exist on the worker.
--- a/internal/control/lwdispatch/start.go
+++ b/internal/control/lwdispatch/start.go
@@ -14,7 +14,7 @@
 	t.highestRun = id
 	c.addRun(r)
 	c.beginProbation(r)
-	c.recordProbe(w)
+	c.recordProbe(t.step, w)
 	if t.step.spec.LongRunning && t.step.job.placementsRecorded {
 		r.awaitsRecord = true
 		c.effects.Placements = append(c.effects.Placements, lwjob.Placement{Task: t.name, Incarnation: w.info.Incarnation})
