Do not hang while another process uses the address of an HTTP server

Callers saw: nothing answers, and the process neither ends nor is started again.

Cause: nbhttp starts its poller before it listens. If it cannot listen, it stops the engine at once. A poller that begins to run after that forgets the stop, and spins over the event that was to wake it; the stop waits for it without a bound.

Change: the address is listened on before the engine starts. It then only fails to start before its poller does.

--- a/internal/net/lwhttp/close_test.go
+++ b/internal/net/lwhttp/close_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -135,3 +136,24 @@
 	}
 	is.Equal(late, 0) // answers written after the request had left InFlight
 }
+
+// Guards against a process that neither serves nor ends while another one uses its address:
+// an engine that was stopped before its poller ran never stopped.
+func TestListenOnAddressInUse(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // a goroutine that Listen starts runs when Listen waits
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = other.Close() }()
+	result := make(chan error, 1)
+	go func() {
+		_, err := lwhttp.Listen(lwhttp.Config{Address: other.Addr().String(), Handler: http.HandlerFunc(ok)})
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		is.True(errors.Is(err, syscall.EADDRINUSE))
+	case <-time.After(waitLimit):
+		t.Fatal("Listen has not returned")
+	}
+}
--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -83,6 +84,11 @@
 func Listen(cfg Config) (*Server, error) {
 	logging.SetLevel(logging.LevelNone)
 	cfg = withDefaults(cfg)
+	// An engine that cannot listen stops itself. It hangs if its poller has not run by then.
+	listener, err := listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", cfg.Address, err)
+	}
 	s := &Server{cfg: cfg}
 	s.perAddress.count = make(map[string]int)
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
@@ -99,7 +105,7 @@
 		SupportServerOnly:      true,
 		NPoller:                1,
 		EpollMod:               nbio.EPOLLET, // a connection that is held back causes no events
-		Listen:                 listen,
+		Listen:                 func(string, string) (net.Listener, error) { return listener, nil },
 		OnRequest:              s.onRequest,
 	})
 	s.engine.OnRead(s.onReadable)
@@ -107,7 +113,8 @@
 	s.engine.OnClose(s.onClose)
 	s.engine.OnWrittenSize(s.onWritten)
 	if err := s.engine.Start(); err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", cfg.Address, err)
+		_ = listener.Close()
+		return nil, fmt.Errorf("serve on %s: %w", cfg.Address, err)
 	}
 	return s, nil
 }
