Let only the poller close a connection at a time-out

Callers saw: "unexpected EOF" or a reset in place of an answer, on a new connection, now and then.

Cause: a timer, or the goroutine of a request, closed a connection, and so freed its file descriptor. If the caller closed it at the same time, the poller held an event that said so, which names only the descriptor. A new connection had got the same number meanwhile, and the poller closed that one. It hit the end of the 100 ms for which a server waits for a caller to close after its last answer, the end of the idle time, stalled readers, requests that are aborted and connections over the limit of an address.

Change: whoever ends a connection shuts its socket down, which the poller then sees and closes. The idle time and the wait after the last answer are timers of the connection, since those of nbio close by themselves. A connection over the limit of its address ends at once: the poller also sees a shutdown from before it was added.

--- a/internal/net/lwhttp/close_test.go
+++ b/internal/net/lwhttp/close_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -22,23 +23,32 @@
 
 const closingRequest = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi"
 
-// sendClosing sends a request with "Connection: close" on a connection of its own
-// and reads the whole answer.
-func sendClosing(address string) error {
+const keptRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// ask sends a request on a connection of its own, reads the whole answer and returns the
+// connection, which is not nil.
+func ask(address, request string) (io.Closer, error) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
-		return err
+		return io.NopCloser(nil), err
 	}
-	defer func() { _ = c.Close() }()
-	if _, err := io.WriteString(c, closingRequest); err != nil {
-		return err
+	if _, err := io.WriteString(c, request); err != nil {
+		return c, err
 	}
 	_ = c.SetReadDeadline(time.Now().Add(waitLimit))
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return err
+		return c, err
 	}
 	_, err = io.Copy(io.Discard, res.Body)
+	return c, err
+}
+
+// sendClosing sends a request with "Connection: close", reads the answer and closes the
+// connection at once.
+func sendClosing(address string) error {
+	c, err := ask(address, closingRequest)
+	_ = c.Close()
 	return err
 }
 
@@ -50,7 +60,7 @@
 		drained bool
 	}{
 		"the caller asks for a close": {closingRequest, false},
-		"the server drains":           {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", true},
+		"the server drains":           {keptRequest, true},
 		"HTTP/1.0":                    {"GET / HTTP/1.0\r\nHost: x\r\n\r\n", false},
 	}
 	for name, tc := range cases {
@@ -117,7 +127,7 @@
 	is.NoErr(err)
 	late := 0
 	for n := range requests {
-		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		_, err = io.WriteString(c, keptRequest)
 		is.NoErr(err)
 		for handled.Load() <= int64(n) || s.InFlight() > 0 {
 			runtime.Gosched()
@@ -157,3 +167,32 @@
 		t.Fatal("Listen has not returned")
 	}
 }
+
+// Guards against an end of one connection that closes another one: a caller that closes just
+// when the server gives up waiting for it must not cost a new caller its answer.
+func TestCloseAtTimeoutEndsNoOtherConnection(t *testing.T) {
+	const callers, requests = 256, 40
+	for name, request := range map[string]string{"after the last answer": closingRequest, "idle": keptRequest} {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, lwhttp.Config{Handler: http.HandlerFunc(ok), IdleTimeout: lwhttp.LingerTimeout})
+			var lost atomic.Int64
+			var wg sync.WaitGroup
+			for n := range callers {
+				wg.Go(func() {
+					rng := rand.New(rand.NewPCG(1, uint64(n)))
+					for range requests {
+						c, err := ask(s.Address(), request)
+						if err != nil {
+							t.Log(err)
+							lost.Add(1)
+						}
+						time.Sleep(lwhttp.LingerTimeout - time.Millisecond + time.Duration(rng.IntN(int(2*time.Millisecond))))
+						_ = c.Close()
+					}
+				})
+			}
+			wg.Wait()
+			is.New(t).Equal(lost.Load(), int64(0)) // answers lost
+		})
+	}
+}
--- a/internal/net/lwhttp/connection.go
+++ b/internal/net/lwhttp/connection.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -21,6 +22,7 @@
 	sentBytes   int64              // bytes written to the socket
 	progress    chan struct{}      // signalled when sentBytes grows or the connection closes
 	closed      bool
+	timer       *time.Timer // ends the connection if it stays idle; nil before it is first set
 }
 
 func remoteIP(c net.Conn) string {
@@ -39,16 +41,14 @@
 	added := &connection{nbc: nbc, progress: make(chan struct{}, 1), in: inbound{usedAt: time.Now()}}
 	s.conns.Store(nbc, added)
 	callers.add(added)
+	added.shutdownAfter(s.cfg.IdleTimeout)
 	s.perAddress.mu.Lock()
 	s.perAddress.count[remoteIP(c)]++
 	overLimit := s.cfg.MaxPerAddress > 0 && s.perAddress.count[remoteIP(c)] > s.cfg.MaxPerAddress
 	s.perAddress.mu.Unlock()
 	if overLimit {
 		httpAddressLimitCloses.Add(1)
-		// nbhttp adds the connection to its poller after this callback. A
-		// connection closed before that is never polled, and its caller would
-		// wait forever.
-		time.AfterFunc(closeDelay, func() { _ = c.Close() })
+		added.shutdown()
 	}
 }
 
@@ -105,11 +105,68 @@
 	}
 }
 
+// stopReceiving has no more be read from the connection.
+func (c *connection) stopReceiving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.in.ended = true
+}
+
+// shutdown reads no more from the connection, and has the poller close it. A close by another
+// goroutine would free the file descriptor while the poller holds an event for it, which the
+// poller would apply to a new connection. The caller must not hold the lock of c or c.nbc.
+func (c *connection) shutdown() {
+	c.stopReceiving()
+	c.nbc.Lock()
+	defer c.nbc.Unlock()
+	if closed, _ := c.nbc.IsClosed(); closed {
+		return
+	}
+	if raw, err := c.nbc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR) }) // fails if the caller has reset it
+	}
+}
+
+// closeLater reads no more from the connection, and closes it in a goroutine, since a caller of the
+// account may hold the lock of this or another connection. Unlike shutdown it frees memory while
+// the poller has much to read from others.
+func (c *connection) closeLater() {
+	c.stopReceiving()
+	// nbhttp adds a new connection to its poller after it has called onOpen. One that is closed
+	// before that is never polled, and its caller would wait forever.
+	time.AfterFunc(closeDelay, func() { _ = c.nbc.Close() })
+}
+
+// shutdownAfter ends the connection after a time of waiting for its caller.
+func (c *connection) shutdownAfter(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+	case c.timer == nil:
+		c.timer = time.AfterFunc(timeout, c.shutdown)
+	default:
+		c.timer.Reset(timeout)
+	}
+}
+
+// stopTimer has the connection stay open while a request is in service.
+func (c *connection) stopTimer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
+
 // close marks c as closed and cancels the request being served.
 func (c *connection) close() {
 	c.mu.Lock()
 	cancel := c.cancel
 	c.closed = true
+	if c.timer != nil {
+		c.timer.Stop()
+	}
 	c.mu.Unlock()
 	c.signalProgress()
 	if cancel != nil {
--- a/internal/net/lwhttp/export_test.go
+++ b/internal/net/lwhttp/export_test.go
@@ -1,5 +1,8 @@
 package lwhttp
 
+// LingerTimeout is how long a server leaves a caller to close a connection.
+const LingerTimeout = lingerTimeout
+
 // LimitConnections sets the number of connections that callers may open, until restore is called.
 func LimitConnections(n int) (restore func()) {
 	callers.mu.Lock()
--- a/internal/net/lwhttp/receive.go
+++ b/internal/net/lwhttp/receive.go
@@ -185,7 +185,7 @@
 	defer func() {
 		if recover() != nil {
 			httpHandlerPanics.Add(1)
-			_ = c.nbc.Close()
+			c.shutdown()
 		}
 		c.mu.Lock()
 		counted, last := c.in.counted, c.in.last
@@ -195,7 +195,9 @@
 			s.inFlight.Add(-1)
 		}
 		if last {
-			_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTimeout))
+			c.shutdownAfter(lingerTimeout)
+		} else {
+			c.shutdownAfter(s.cfg.IdleTimeout)
 		}
 		c.requestAnswered(last)
 	}()
@@ -228,7 +230,7 @@
 			if n > 0 {
 				httpLeftUnread.Add(1)
 			}
-			_ = c.nbc.CloseWithError(err)
+			c.shutdown()
 			return
 		}
 		c.mu.Lock()
@@ -249,7 +251,7 @@
 	c.mu.Unlock()
 	if tooLong {
 		httpHeaderLimitCloses.Add(1)
-		_ = c.nbc.Close()
+		c.shutdown()
 		return
 	}
 	callers.charge(c, c.cost())
@@ -338,17 +340,6 @@
 		in.serviceCost + max(0, c.queuedBytes-c.sentBytes)
 }
 
-// closeLater reads no more from the connection, and closes it in a goroutine, since a caller of the
-// account may hold the lock of this or another connection.
-func (c *connection) closeLater() {
-	c.mu.Lock()
-	c.in.ended = true
-	c.mu.Unlock()
-	// nbhttp adds a new connection to its poller after it has called onOpen. One that is closed
-	// before that is never polled, and its caller would wait forever.
-	time.AfterFunc(closeDelay, func() { _ = c.nbc.Close() })
-}
-
 // meteredConn counts the bytes that are written to a connection and not yet sent.
 type meteredConn struct {
 	*nbio.Conn
--- a/internal/net/lwhttp/server.go
+++ b/internal/net/lwhttp/server.go
@@ -36,9 +36,11 @@
 	maxChunkOverhead         = 256 // of a chunk, a header line, or the status line with the date
 	engineStopTimeout        = 2 * time.Second
 	disconnectPollInterval   = 50 * time.Millisecond
-	smallAnswerBytes         = 16 << 10               // smaller answers are not awaited before a close
-	closeDelay               = 10 * time.Millisecond  // for the poller to add a connection, or for queued bytes to move
-	lingerTimeout            = 100 * time.Millisecond // for the caller to close a connection after its last answer
+	smallAnswerBytes         = 16 << 10              // smaller answers are not awaited before a close
+	closeDelay               = 10 * time.Millisecond // for the poller to add a connection
+	sentPollInterval         = 2500 * time.Microsecond
+	keepaliveTime            = 10 * 365 * 24 * time.Hour // connections have a timer of their own
+	lingerTimeout            = 100 * time.Millisecond    // for the caller to close a connection after its last answer
 	drainPollInterval        = 10 * time.Millisecond
 	acceptPause              = 20 * time.Millisecond
 	spareConnections         = 64 // beyond MaxConns, for connections that are being closed
@@ -100,7 +102,7 @@
 		ReadLimit:              int(cfg.MaxBody + maxHeaderBytes),
 		MaxHTTPBodySize:        int(cfg.MaxBody),
 		ReadBufferSize:         readBufferBytes,
-		KeepaliveTime:          cfg.IdleTimeout,
+		KeepaliveTime:          keepaliveTime,
 		MessageHandlerPoolSize: maxConcurrentHandlers,
 		SupportServerOnly:      true,
 		NPoller:                1,
@@ -206,14 +208,14 @@
 	// the caller closes it too. The poller may then apply the caller's close to
 	// a new connection that has got the same file descriptor.
 	r.Close = false
-	_ = nbc.SetReadDeadline(time.Time{}) // the idle deadline must not end a request in service
+	conn.stopTimer()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	conn.startRequest(cancel)
 	defer conn.endRequest()
 	stop := conn.watchDisconnect(nbc)
 	defer stop()
-	out := &backpressureWriter{Response: res, conn: conn, nbc: nbc, stallTimeout: s.cfg.WriteStallTimeout, atLeast11: r.ProtoAtLeast(1, 1)}
+	out := &backpressureWriter{Response: res, conn: conn, stallTimeout: s.cfg.WriteStallTimeout, atLeast11: r.ProtoAtLeast(1, 1)}
 	r = r.WithContext(ctx)
 	r.Close = requestedClose
 	s.cfg.Handler.ServeHTTP(out, r)
--- a/internal/net/lwhttp/writer.go
+++ b/internal/net/lwhttp/writer.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"lavenderweir.example/lavenderweir/internal/base/lwfault"
@@ -17,7 +16,6 @@
 type backpressureWriter struct {
 	*nbhttp.Response
 	conn         *connection
-	nbc          *nbio.Conn
 	stallTimeout time.Duration
 	writtenBytes int // body bytes of this answer
 	atLeast11    bool
@@ -108,7 +106,7 @@
 		case <-w.conn.progress:
 		case <-timer.C:
 			httpSlowReaderCloses.Add(1)
-			_ = w.nbc.Close()
+			w.conn.shutdown()
 			return lwfault.New(lwfault.Timeout, "the caller read too slowly for %s", w.stallTimeout)
 		}
 	}
@@ -132,7 +130,7 @@
 		if closed || unsent <= 0 {
 			return
 		}
-		time.Sleep(closeDelay / 4)
+		time.Sleep(sentPollInterval)
 	}
 	httpSlowReaderCloses.Add(1)
 }
@@ -142,6 +140,6 @@
 // is not the writer that a Server passed to its handler.
 func AbortConnection(w http.ResponseWriter) {
 	if bw, ok := w.(*backpressureWriter); ok {
-		_ = bw.nbc.Close()
+		bw.conn.shutdown()
 	}
 }
