--- a/internal/net/lwhttp/connection.go
+++ b/internal/net/lwhttp/connection.go
@@ -105,14 +105,14 @@
 	}
 }
 
-// stopReceiving has no more be read from the connection.
+// stopReceiving ends the reading from the connection.
 func (c *connection) stopReceiving() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.in.ended = true
 }
 
-// shutdown reads no more from the connection, and has the poller close it. A close by another
+// shutdown ends the reading, and has the poller close the connection. A close by another
 // goroutine would free the file descriptor while the poller holds an event for it, which the
 // poller would apply to a new connection. The caller must not hold the lock of c or c.nbc.
 func (c *connection) shutdown() {
@@ -127,7 +127,7 @@
 	}
 }
 
-// closeLater reads no more from the connection, and closes it in a goroutine, since a caller of the
+// closeLater ends the reading, and closes the connection in a goroutine, since a caller of the
 // account may hold the lock of this or another connection. Unlike shutdown it frees memory while
 // the poller has much to read from others.
 func (c *connection) closeLater() {
